--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from sumacpitch import interface as api
-from sumacpitch.policy import Router
+from thornjunction import interface as api
+from thornjunction.rules import Router
 
 A = TypeVar("A")
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from sumacpitch import interface as api
-from sumacpitch.policy import Router
 from tests.helpers import EDGES, ORIGIN, PARENTS, SETTINGS, Bench, edge, fetch_of, finals, only, parent
+from thornjunction import interface as api
+from thornjunction.rules import Router
 
 FILLED = api.Note.FILLED
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from sumacpitch import interface as api
 from tests.helpers import EDGES, ORIGIN, PARENTS, Bench, edge, fetch_of, finals, only, parent
+from thornjunction import interface as api
 
 MAY_HAVE_RUN = [api.Status.ERROR, api.Status.TIMEOUT, api.Status.RESET, api.Status.CANCELLED]
 NEVER_RAN = [api.Status.BUSY, api.Status.REFUSED, api.Status.MISS]
--- a/sumacpitch/simhost.py
+++ b/thornjunction/adapter.py
@@ -1,6 +1,6 @@
 """The adapter: reads the simulator's wire, drives one router per instance, writes the replies.
 
-Translation only.  Run as ``python -m sumacpitch.simhost``; standard output carries replies and nothing
+Translation only.  Run as ``python -m thornjunction.adapter``; standard output carries replies and nothing
 else, complaints go to standard error.
 """
 
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TextIO
 
-from sumacpitch import interface as api
-from sumacpitch.policy import Router
+from thornjunction import interface as api
+from thornjunction.rules import Router
 
 STATUSES = {
     "done": api.Status.DONE,
@@ -364,7 +364,7 @@
     try:
         Host(sys.stdout, sys.stderr).run(sys.stdin)
     except WireError as error:
-        print(f"sumacpitch: {error}", file=sys.stderr)
+        print(f"thornjunction: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/sumacpitch/interface.py
+++ b/thornjunction/interface.py
@@ -1,7 +1,7 @@
 """What goes into a router and what comes out: settings, events and actions.
 
 Every time is in milliseconds, as a float, on the caller's own monotonic clock (any zero will do); every
-size is in KB.  A caller builds one ``Router(settings, seed)`` (``sumacpitch.policy``) per life of a front,
+size is in KB.  A caller builds one ``Router(settings, seed)`` (``thornjunction.rules``) per life of a front,
 hands it each event together with the time at which it happened, and carries out the returned actions at
 that same time and in their order.  Routers hold no clock, do no I/O and share nothing.
 """
--- a/sumacpitch/policy.py
+++ b/thornjunction/rules.py
@@ -1,4 +1,4 @@
-"""All decisions of the router.  Settings, events and actions: sumacpitch/interface.py.  Times are in ms.
+"""All decisions of the router.  Settings, events and actions: thornjunction/interface.py.  Times are in ms.
 
 The ordinary path follows Song et al., section 3: an edge cache by a hash of the object, one of two hashed
 parents as source, and a rank by d1 (hits/s x fetch time / size) or d2 (hits/s), drawn with a moving chance.
@@ -13,7 +13,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from sumacpitch import interface as api
+from thornjunction import interface as api
 
 HALF_LIFE, KNOWN = 10_000.0, 0.5  # ms, of request counts (the design's); count that makes a copy likely there
 COPIES, SCORES, PURGES = 8192, 512, 4096  # in tables at most; with more purges, everything counts as purged
