--- a/thornjunction/adapter.py
+++ b/thornjunction/adapter.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import json
 import sys
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from typing import Any, TextIO
 
 from thornjunction import interface as api
 from thornjunction.rules import Router
+from thornjunction.settings import Params, WireError, parse_json, read_report, read_roles, read_settings
 
 STATUSES = {
     "done": api.Status.DONE,
@@ -32,10 +32,6 @@
 Fields = dict[str, str]
 
 
-class WireError(Exception):
-    """A line or a setting that cannot be understood; the text names it."""
-
-
 def split_line(line: str) -> tuple[str, Fields]:
     """The message's name and its fields."""
     name, _, rest = line.partition(" ")
@@ -68,129 +64,15 @@
     return {"1": True, "0": False}[text]
 
 
-class Params:
-    """Reads the settings; an error names the setting."""
-
-    def __init__(self, data: Any, path: str = "") -> None:
-        if not isinstance(data, Mapping):
-            raise WireError(f"setting {path or 'params'!r} is not an object")
-        self.data, self.path = data, path
-
-    def get(self, name: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
-        """The value of a setting, of the stated kind."""
-        found = self.data.get(name, default)
-        if found is None:
-            raise WireError(f"setting {self.path + name!r} is missing")
-        if not isinstance(found, kind) or (isinstance(found, bool) and kind is not bool):
-            raise WireError(f"setting {self.path + name!r} has an impossible value {found!r}")
-        return found
-
-    def number(self, name: str, default: float | None = None) -> float:
-        """A number that is not negative."""
-        found = self.get(name, (int, float), default)
-        if not 0 <= found < float("inf"):
-            raise WireError(f"setting {self.path + name!r} has an impossible value {found!r}")
-        return float(found)
-
-    def choice(self, name: str, options: type[Any], default: str | None = None) -> Any:
-        """One of an enum's values."""
-        found = self.get(name, str, default)
-        try:
-            return options(found)
-        except ValueError as error:
-            raise WireError(f"setting {self.path + name!r} has an impossible value {found!r}") from error
-
-    def below(self, name: str) -> Params:
-        """The settings under a name."""
-        return Params(self.get(name, dict), f"{self.path}{name}.")
-
-
-def read_class(data: Any, place: int, special: Params) -> api.RequestClass:
-    """One class of requests."""
-    params = Params(data, f"classes[{place}].")
-
-    def by_class(name: str, default: Any) -> Any:
-        listed = special.get(name, list, [])
-        return listed[place] if place < len(listed) else default
-
-    return api.RequestClass(
-        name=params.get("name", str),
-        aim_ms=params.number("aimMs"),
-        give_up_ms=params.number("giveUpMs"),
-        safety=params.choice("idempotency", api.Safety),
-        aim_stretch=params.number("aimStretch", 0.0),
-        late_worth=params.number("lateWorth", 0.0),
-        worth=params.number("worth", 1.0),
-        group=params.choice("group", api.Group, "all"),
-        memory_ms=params.number("memorySpanMs", 0.0),
-        fresh_ms=float(by_class("classFreshMs", 0.0)),
-        passes=bool(by_class("passOn", False)),
-    )
-
-
-def read_settings(text: str) -> tuple[api.Settings, Params]:
-    """The router's settings from the wire's, and the wire's own for the names used in later messages."""
-    try:
-        params = Params(json.loads(text))
-    except ValueError as error:
-        raise WireError(f"settings are not JSON: {error}") from error
-    allowed, safety, special = params.below("allowed"), params.below("safety"), params.below("specifics")
-    zones: list[str] = params.get("zones", list)
-    classes = params.get("classes", list)
-
-    def by_zone(name: str) -> dict[str, Any]:
-        return dict(zip(zones, special.get(name, list, []), strict=False))
-
-    settings = api.Settings(
-        classes=tuple(read_class(data, place, special) for place, data in enumerate(classes)),
-        zone=params.get("myZone", str),
-        instances=int(params.number("instances")),
-        zone_fronts={zone: int(count) for zone, count in by_zone("instancesByZone").items()},
-        max_attempts=int(allowed.number("attemptsCap")),
-        drain_grace_ms=safety.number("drainGraceMs"),
-        cold_share=safety.number("startCapacity"),
-        cold_ms=safety.number("coldMs"),
-        fall_multiple=safety.number("fallMultiple"),
-        fall_ms=safety.number("fallMs"),
-        parent_cold_share=special.number("parentFloor", 1.0),
-        parent_cold_ms=special.number("parentWarmsInMs", 0.0),
-        parent_fall_multiple=special.number("upperFallMultiple", 2.0),
-        purge_takes_ms=special.number("purgeTakesMs", 0.0),
-        purge_grace_ms=special.number("obeyAfterMs", 0.0),
-        answer_slack_ms=safety.number("answerSlackMs", 0.0),
-        flow_kb_per_ms=special.number("oneFlowKbPerS", 0.0) / 1000.0,
-        weighted=params.get("weights", str, "none") in ("nominal", "rough"),
-        may_cancel=allowed.get("cancel", bool, False),
-        may_probe=allowed.get("probing", bool, False),
-        may_bypass=special.get("mayPassBy", bool, False),
-        may_join=special.get("collapses", bool, False),
-        may_advise_wait=allowed.get("retryAfter", bool, False),
-        max_wait_advice_ms=allowed.number("maxRetryAfterMs", 0.0),
-        siblings=special.choice("siblings", api.Siblings, "none"),
-        notes=special.choice("says", api.Notes, "none"),
-        zone_hub={zone: zones[hub] for zone, hub in by_zone("hubByZone").items()},
-        zone_link_kb_per_ms={
-            zone: kb_per_s / 1000.0 for zone, kb_per_s in by_zone("pipeKbPerS").items() if kb_per_s > 0
-        },
-    )
-    return settings, params
-
-
 class Instance:
     """One front: its router and the names that its wire uses."""
 
     def __init__(self, fields: Fields) -> None:
-        settings, params = read_settings(value(fields, "params", str))
-        special = params.below("specifics")
-        kinds = params.get("machineTypes", list)
-        self.roles: dict[str, api.Role] = {}
-        for name, role in (("secondTierKind", api.Role.PARENT), ("rootKind", api.Role.ORIGIN)):
-            place = special.get(name, int, -1)
-            if 0 <= place < len(kinds):
-                self.roles[kinds[place]] = role
+        params = Params(parse_json(value(fields, "params", str)))
+        self.roles = read_roles(params)
         report = params.below("report") if "report" in params.data else Params({"columns": []})
         self.columns: list[str] = report.get("columns", list, [])
-        self.router = Router(settings, value(fields, "randomSeed", int, 0))
+        self.router = Router(read_settings(params), value(fields, "randomSeed", int, 0))
 
     def report(self, text: str) -> api.Report:
         """A load report by the settings' columns."""
@@ -198,7 +80,7 @@
             told = dict(zip(self.columns, map(float, text.split(",")), strict=False))
         except ValueError as error:
             raise WireError(f"bad load report {text[:80]!r}") from error
-        return api.Report(busy=told.get("util"), hit_share=told.get("x0"), link=told.get("x1"))
+        return read_report(told)
 
     def entry(self, fields: Fields) -> api.ServerEntry:
         """One line of a list."""
--- /dev/null
+++ b/thornjunction/memory/deadlines.py
@@ -0,0 +1,74 @@
+"""All deadlines of the program, in one ordered structure."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+LIMIT = 1 << 16  # entries at most: some for each open request, attempt and connection, all bounded tables
+COMPACT_OVER = 256  # called-off entries that may lie about before the heap is rebuilt
+
+
+@dataclass(order=True, slots=True)
+class Deadline:
+    """One entry: what to call when its time has come."""
+
+    when: float
+    turn: int
+    call: Callable[[], None] | None = field(compare=False)
+    queued: bool = field(default=True, compare=False)
+
+
+class Deadlines:
+    """A heap of deadlines on the core's clock; equal times run in the order added."""
+
+    def __init__(self, on_sooner: Callable[[float], None] | None = None, limit: int = LIMIT) -> None:
+        self.on_sooner, self.limit = on_sooner, limit
+        self._heap: list[Deadline] = []
+        self._turn = self._dead = 0
+
+    def __len__(self) -> int:
+        return len(self._heap) - self._dead
+
+    def add(self, when: float, call: Callable[[], None]) -> Deadline:
+        """Call at that time; OverflowError when the structure is full."""
+        if len(self) >= self.limit:
+            raise OverflowError("too many deadlines")
+        self._turn += 1
+        entry = Deadline(when, self._turn, call)
+        sooner = not self._heap or entry < self._heap[0]
+        heapq.heappush(self._heap, entry)
+        if sooner and self.on_sooner is not None:
+            self.on_sooner(when)
+        return entry
+
+    def cancel(self, entry: Deadline | None) -> None:
+        """Call off; harmless for one that has run or is none."""
+        if entry is None or entry.call is None:
+            return
+        entry.call = None
+        self._dead += entry.queued
+        if self._dead > max(COMPACT_OVER, len(self._heap) // 2):
+            self._heap = [kept for kept in self._heap if kept.call is not None]
+            heapq.heapify(self._heap)
+            self._dead = 0
+
+    def next_due(self) -> float:
+        """When the next one is due; infinite if there is none."""
+        while self._heap and self._heap[0].call is None:
+            heapq.heappop(self._heap)
+            self._dead -= 1
+        return self._heap[0].when if self._heap else math.inf
+
+    def run_due(self, now: float) -> None:
+        """Call all that are due; what is added meanwhile waits for the next run."""
+        due: list[Deadline] = []
+        while self.next_due() <= now:
+            due.append(heapq.heappop(self._heap))
+            due[-1].queued = False
+        for entry in due:
+            call, entry.call = entry.call, None
+            if call is not None:  # an earlier one of this run may have called it off
+                call()
--- /dev/null
+++ b/thornjunction/net/alarm.py
@@ -0,0 +1,50 @@
+"""Wakes the deadlines: one reactor call for the nearest of them, and the clocks."""
+
+from __future__ import annotations
+
+import math
+import time
+from typing import Any
+
+from thornjunction.memory.deadlines import Deadlines
+
+EARLY_MS = 1e9  # keeps starts before this machine's own boot above zero, which the module reads as "long ago"
+
+
+def core_ms() -> float:
+    """The core's clock: monotonic milliseconds."""
+    return time.monotonic() * 1000.0 + EARLY_MS
+
+
+def unix_to_core(unix_ms: float) -> float:
+    """A Unix time on the core's clock, by what the two read now: the system's clock may be set."""
+    return unix_ms - time.time() * 1000.0 + core_ms()
+
+
+class Alarm:
+    """Runs ``deadlines`` from the reactor."""
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+        self.deadlines = Deadlines(self._arm)
+        self._call: Any = None
+        self._at = math.inf
+
+    def _arm(self, when: float) -> None:
+        if self._call is not None and self._call.active():
+            if self._at <= when:
+                return
+            self._call.cancel()
+        self._at = when
+        self._call = self.reactor.callLater(max(when - core_ms(), 0.0) / 1000.0, self._ring)
+
+    def _ring(self) -> None:
+        self._call = None
+        self.deadlines.run_due(core_ms())
+        due = self.deadlines.next_due()
+        if due < math.inf:
+            self._arm(due)
+
+    def stop(self) -> None:
+        if self._call is not None and self._call.active():
+            self._call.cancel()
--- /dev/null
+++ b/thornjunction/net/transport.py
@@ -0,0 +1,67 @@
+"""The part of Twisted that the endpoints use, with types that its zope interfaces don't give a checker."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet import protocol
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
+
+from thornjunction.memory.deadlines import Deadlines
+
+OWN_TIMER = 3600  # seconds: our deadline ends a dial long before Twisted's would
+
+
+class Transport(Protocol):
+    """What a protocol may do with its connection."""
+
+    def write(self, data: bytes) -> None: ...
+
+    def loseConnection(self) -> None: ...  # noqa: N802
+
+    def abortConnection(self) -> None: ...  # noqa: N802
+
+    def setTcpNoDelay(self, enabled: bool) -> None: ...  # noqa: N802
+
+    def registerProducer(self, producer: object, streaming: bool) -> None: ...  # noqa: N802
+
+    def unregisterProducer(self) -> None: ...  # noqa: N802
+
+
+class Building(protocol.Factory):
+    """A factory that builds each connection's protocol by a function."""
+
+    noisy = False
+
+    def __init__(self, build: Callable[[], protocol.Protocol]) -> None:
+        self.build = build
+
+    def buildProtocol(self, addr: object) -> protocol.Protocol:  # noqa: N802
+        return self.build()
+
+
+def dial(
+    reactor: Any,
+    address: tuple[str, int],
+    build: Callable[[], protocol.Protocol],
+    deadlines: Deadlines,
+    until: float,
+) -> Deferred[Any]:
+    """Connect, or fail at that time."""
+    endpoint: Any = TCP4ClientEndpoint(reactor, *address, timeout=OWN_TIMER)
+    connecting: Deferred[Any] = endpoint.connect(Building(build))
+    timer = deadlines.add(until, connecting.cancel)
+
+    def over(result: Any) -> Any:
+        deadlines.cancel(timer)
+        return result
+
+    return connecting.addBoth(over)
+
+
+def server_endpoint(reactor: Any, address: tuple[str, int]) -> Any:
+    """Where a front listens; port 0 takes any free one."""
+    build: Any = TCP4ServerEndpoint
+    return build(reactor, address[1], backlog=1024, interface=address[0])
--- /dev/null
+++ b/thornjunction/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, start, readiness, drain and exit."""
