--- a/thornjunction/__main__.py
+++ b/thornjunction/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import os
 import sys
@@ -9,6 +10,8 @@
 from thornjunction.core.counters import Counters
 from thornjunction.runtime.config import ConfigError, load_config
 
+GC_THRESHOLDS = 20_000, 50, 100  # few cycles are made; the default looks for them several times a millisecond
+
 
 def main() -> int:
     """Serve until SIGTERM; the exit code."""
@@ -22,6 +25,8 @@
 
     from thornjunction.runtime.service import Service
 
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     Service(config, reactor, Counters()).run()
     return 0
 
--- a/thornjunction/core/engine.py
+++ b/thornjunction/core/engine.py
@@ -24,7 +24,7 @@
 from thornjunction.memory.deadlines import Deadline, Deadlines
 from thornjunction.memory.slots import SlotTable
 
-REQUESTS, ATTEMPTS = 512, 1024  # open at most; a buffered answer has 240 KB, so this bounds the memory
+REQUESTS, ATTEMPTS = 4096, 8192  # open at most; what holds bytes is bounded at the connections
 NEAR_DEADLINE_MS = 50.0  # a failure this close to the client's limit counts as the deadline's
 
 log = logging.getLogger(__name__)
@@ -98,6 +98,7 @@
                 part=call.part,
                 group=call.group,
                 size_kb=call.size_kb,
+                idempotency_key=call.idempotency_key,
             )
         )
         return number
--- a/thornjunction/interface.py
+++ b/thornjunction/interface.py
@@ -183,6 +183,7 @@
     part: int = 0
     group: int = 0
     size_kb: float = 0.0  # 0: not told
+    idempotency_key: str = ""  # keyed classes: the same for all tries of one request; empty: not told
 
 
 @dataclass(frozen=True, slots=True)
--- a/thornjunction/memory/deadlines.py
+++ b/thornjunction/memory/deadlines.py
@@ -5,20 +5,19 @@
 import heapq
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
-LIMIT = 1 << 16  # entries at most: some for each open request, attempt and connection, all bounded tables
+LIMIT = 1 << 17  # entries at most: some for each open request, attempt and connection, all bounded tables
 COMPACT_OVER = 256  # called-off entries that may lie about before the heap is rebuilt
 
 
-@dataclass(order=True, slots=True)
 class Deadline:
     """One entry: what to call when its time has come."""
 
-    when: float
-    turn: int
-    call: Callable[[], None] | None = field(compare=False)
-    queued: bool = field(default=True, compare=False)
+    __slots__ = ("call", "queued")
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+        self.queued = True
 
 
 class Deadlines:
@@ -26,7 +25,7 @@
 
     def __init__(self, on_sooner: Callable[[float], None] | None = None, limit: int = LIMIT) -> None:
         self.on_sooner, self.limit = on_sooner, limit
-        self._heap: list[Deadline] = []
+        self._heap: list[tuple[float, int, Deadline]] = []
         self._turn = self._dead = 0
 
     def __len__(self) -> int:
@@ -37,9 +36,9 @@
         if len(self) >= self.limit:
             raise OverflowError("too many deadlines")
         self._turn += 1
-        entry = Deadline(when, self._turn, call)
-        sooner = not self._heap or entry < self._heap[0]
-        heapq.heappush(self._heap, entry)
+        entry = Deadline(call)
+        sooner = not self._heap or when < self._heap[0][0]
+        heapq.heappush(self._heap, (when, self._turn, entry))
         if sooner and self.on_sooner is not None:
             self.on_sooner(when)
         return entry
@@ -51,22 +50,22 @@
         entry.call = None
         self._dead += entry.queued
         if self._dead > max(COMPACT_OVER, len(self._heap) // 2):
-            self._heap = [kept for kept in self._heap if kept.call is not None]
+            self._heap = [kept for kept in self._heap if kept[2].call is not None]
             heapq.heapify(self._heap)
             self._dead = 0
 
     def next_due(self) -> float:
         """When the next one is due; infinite if there is none."""
-        while self._heap and self._heap[0].call is None:
+        while self._heap and self._heap[0][2].call is None:
             heapq.heappop(self._heap)
             self._dead -= 1
-        return self._heap[0].when if self._heap else math.inf
+        return self._heap[0][0] if self._heap else math.inf
 
     def run_due(self, now: float) -> None:
         """Call all that are due; what is added meanwhile waits for the next run."""
         due: list[Deadline] = []
         while self.next_due() <= now:
-            due.append(heapq.heappop(self._heap))
+            due.append(heapq.heappop(self._heap)[2])
             due[-1].queued = False
         for entry in due:
             call, entry.call = entry.call, None
--- /dev/null
+++ b/thornjunction/net/front_signed.py
@@ -0,0 +1,124 @@
+"""The second front: HTTP/1.1 with signed URLs.  A token is checked when its request has come whole; what it
+admitted runs to its end, and the next request on the connection needs a token that holds then."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from twisted.internet import protocol
+from twisted.python.failure import Failure
+
+from thornjunction import interface as api
+from thornjunction.core.ports import Answer
+from thornjunction.memory.deadlines import Deadlines
+from thornjunction.memory.slots import SlotTable
+from thornjunction.net.front_fastcgi import ClientLink, Core
+from thornjunction.net.wire import ProtocolError, http1, signed
+from thornjunction.signing import tokens
+
+MAX_BODY, MAX_WAITING = 65_536, 8  # bytes of a request; requests behind the one that is being answered
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Door:
+    """What all connections of this front share."""
+
+    core: Core
+    classes: Mapping[str, api.RequestClass]
+    base: str  # scheme and authority that the signed URIs begin with
+    trust: tokens.Trust
+    nonces: tokens.Nonces
+    unix_s: Callable[[], float]
+
+
+class SignedLink(ClientLink):
+    """One HTTP connection: one request at a time, the next ones wait in order."""
+
+    kind = "signed"
+
+    def __init__(
+        self, table: SlotTable[ClientLink], deadlines: Deadlines, clock: Callable[[], float], door: Door
+    ) -> None:
+        super().__init__(table, deadlines, clock)
+        self.door = door
+        self.reader = http1.RequestReader(MAX_BODY)
+        self.waiting: deque[http1.HttpRequest] = deque()
+        self.serving = False  # a request is being answered
+        self.number: int | None = None  # in the core
+
+    def is_open(self) -> bool:
+        return self.serving
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.code:
+            return
+        try:
+            self.waiting.extend(self.reader.feed(data))
+        except ProtocolError as error:
+            return self._malformed(str(error))
+        if len(self.waiting) > MAX_WAITING:
+            return self.close("pipeline")
+        self._next()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
+        super().connectionLost(reason)
+        self.waiting.clear()
+        number, self.number, self.serving = self.number, None, False
+        if number is not None:
+            self.door.core.abandon(number)
+
+    def _malformed(self, code: str) -> None:
+        """The first thing that is wrong ends the connection; an answer that is owed to an earlier request
+        is not given a second one in its place."""
+        if self.serving:
+            return self.close(code)
+        self._write(http1.HttpResponse(431 if code == "http-head-size" else 400, {}, b"", False))
+        self.code = code
+
+    def _next(self) -> None:
+        while self.waiting and not self.serving and not self.code:
+            self._ask(self.waiting.popleft())
+
+    def _ask(self, request: http1.HttpRequest) -> None:
+        try:
+            target, token = signed.split_token(request)
+            now = self.door.unix_s()
+            grant = tokens.verify(token, self.door.base + target, self.door.trust, self.door.nonces, now)
+            call = signed.decode_call(request, target, secrets.token_hex(8), self.door.classes)
+        except (signed.MisuseError, tokens.TokenError) as error:
+            log.info("rejected slot=%s status=%d code=%s", self.slot, error.status, error.code)
+            return self._write(signed.encode_misused(error.status, request.keep))
+        self.serving = True
+        number = self.door.core.open(call, lambda answer: self._reply(request, target, grant, answer))
+        if number is None:
+            self.serving = False
+            self._write(http1.HttpResponse(503, {"Retry-After": "1"}, b"", request.keep))
+        elif self.serving:  # else it was answered at once
+            self.number = number
+
+    def _reply(self, request: http1.HttpRequest, target: str, grant: tokens.Grant, answer: Answer) -> None:
+        if self.code:  # the client left while the core decided
+            return
+        self.serving, self.number = False, None
+        self._write(signed.encode_answer(answer, request.keep, self._renewal(target, grant)))
+        self._next()
+
+    def _renewal(self, target: str, grant: tokens.Grant) -> dict[str, str]:
+        if not grant.renew_s:
+            return {}
+        token = tokens.renew(self.door.trust, grant, self.door.unix_s())
+        return {"Set-Cookie": signed.cookie_for(token, target, grant.depth, grant.renew_s)}
+
+    def _write(self, response: http1.HttpResponse) -> None:
+        self.answered += 1
+        self.transport.write(http1.encode_response(response))
+        if response.keep:
+            self.set_idle()
+        else:
+            self.finish("no-keep-alive")
--- a/thornjunction/net/shelves.py
+++ b/thornjunction/net/shelves.py
@@ -26,7 +26,7 @@
 from thornjunction.net.wire.resp import ArrayReader
 from thornjunction.settings import read_report
 
-PREFERRED, AT_MOST = 2, 4  # connections to one shelf: in use; with those under suspicion
+PREFERRED, AT_MOST = 8, 10  # connections to one shelf: in use; with those under suspicion
 IDLE_SHARE = 0.8  # of the platform's idle time: we close first, so that no request crosses a close
 WAITING = 256  # attempts that may wait for one dial
 
@@ -228,7 +228,8 @@
         if ready:
             return min(ready, key=lambda link: len(link.out)).put(ident, sent, data)
         if ident in found.waiting or len(found.waiting) >= WAITING or not self._may_dial(found):
-            return self._end(server, sent, api.Status.BUSY)
+            # Guards against blame: BUSY would count against the shelf's source, which this pool never asked.
+            return self._end(server, sent, api.Status.SKIPPED)
         found.waiting[ident] = (sent, data)
         if found.dial is None:
             self._dial(found)
@@ -261,7 +262,7 @@
         link.slot = self.links.add(link)
         if link.slot is None or self.shelves.get(found.host.name) is not found:
             link.close("table-full" if link.slot is None else "list")
-            return self._fail_waiting(found, api.Status.BUSY)
+            return self._fail_waiting(found, api.Status.SKIPPED)
         found.links.append(link)
         for ident in list(found.waiting):
             if not link.has_room(ident):
@@ -271,7 +272,7 @@
         link.rest()
         if found.waiting and self._may_dial(found):
             return self._dial(found)
-        self._fail_waiting(found, api.Status.BUSY)
+        self._fail_waiting(found, api.Status.SKIPPED)
 
     def _fail_waiting(self, found: Shelf, status: api.Status) -> None:
         waiting, found.waiting = found.waiting, {}
--- a/thornjunction/net/wire/fastcgi.py
+++ b/thornjunction/net/wire/fastcgi.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from thornjunction.net.wire import ProtocolError
 
@@ -18,8 +19,7 @@
 MAX_OPEN, MAX_PARAMS, MAX_BODY = 32, 16_384, 65_536  # a write brings up to 48,000 bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Record:
+class Record(NamedTuple):
     kind: int
     request_id: int
     content: bytes
@@ -164,16 +164,19 @@
 def parse_pairs(data: bytes) -> dict[str, str]:
     """Name-value pairs."""
     pairs: dict[str, str] = {}
-    at = 0
-    while at < len(data):
-        name_size, at = _length(data, at)
-        value_size, at = _length(data, at)
-        if at + name_size + value_size > len(data):
+    text, at, size = data.decode("latin-1"), 0, len(data)
+    while at < size:
+        if at + 1 < size and data[at] < 0x80 and data[at + 1] < 0x80:  # as nearly all are
+            name_size, value_size, at = data[at], data[at + 1], at + 2
+        else:
+            name_size, at = _length(data, at)
+            value_size, at = _length(data, at)
+        middle = at + name_size
+        end = middle + value_size
+        if end > size:
             raise ProtocolError("fastcgi-pairs")
-        name = data[at : at + name_size].decode("latin-1")
-        at += name_size
-        pairs[name] = data[at : at + value_size].decode("latin-1")
-        at += value_size
+        pairs[text[at:middle]] = text[middle:end]
+        at = end
     return pairs
 
 
--- a/thornjunction/net/wire/shelf.py
+++ b/thornjunction/net/wire/shelf.py
@@ -38,14 +38,20 @@
 def encode_want(order: Order) -> bytes:
     """The attempt's request.  Unbounded ages and absent values are left out; times round down."""
     call, fetch = order.call, order.fetch
-    words = (("collapse", fetch.join), ("only-if-cached", fetch.held_only), ("refresh", fetch.renew))
+    filled = fetch.source != fetch.server
+    # Guards against a shelf told to renew a copy from nowhere: without a source nothing can be fetched.
+    words = (
+        ("collapse", fetch.join),
+        ("only-if-cached", fetch.held_only and filled),
+        ("refresh", fetch.renew and filled),
+    )
     fields = {
         "profile": call.class_name,
         "thing": call.object_id,
         "nth": str(call.part),
         "max": str(max(math.floor(fetch.timeout_ms), 1)),
         "replay": call.idempotency_key,
-        "up": fetch.source if fetch.source != fetch.server else "",
+        "up": fetch.source if filled else "",
         "store": str(fetch.rank) if fetch.rank else "",
         "cap": str(max(math.floor(fetch.max_age_ms), 1)) if fetch.max_age_ms > 0 else "",
         "do": "+".join(word for word, said in words if said),
--- /dev/null
+++ b/thornjunction/net/wire/signed.py
@@ -0,0 +1,105 @@
+"""The second front's URLs: /CLASS/GROUP/OBJECT/PART and a token, to a call; an answer to a response."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Mapping
+from urllib.parse import unquote
+
+from thornjunction import interface as api
+from thornjunction.core.ports import Answer, Call, Failed, Refused, Served
+from thornjunction.net.wire import ProtocolError
+from thornjunction.net.wire.http1 import HttpRequest, HttpResponse
+from thornjunction.net.wire.platform import MAX_GROUP, MAX_PART, WORD, number
+
+PACKAGE = "URISigningPackage"  # RFC 9246's name of the attribute and of the cookie
+PATH = re.compile(r"/([0-9A-Za-z_-]{1,64})/(0|[1-9]\d{0,2})/([0-9a-f]{16})/(0|[1-9]\d{0,6})", re.ASCII)
+
+
+class MisuseError(Exception):
+    """A request that never reaches the core: its status and a code for the log."""
+
+    def __init__(self, status: int, code: str) -> None:
+        super().__init__(code)
+        self.status, self.code = status, code
+
+
+def split_token(request: HttpRequest) -> tuple[str, str]:
+    """The target without its token, and the token: the URI's, else the cookie's.  Twice in one place is
+    refused, since two readers could take one each."""
+    path, _, query = request.target.partition("?")
+    pairs = [pair for pair in query.split("&") if pair]
+    tokens = [pair.partition("=")[2] for pair in pairs if unquote(pair.partition("=")[0]) == PACKAGE]
+    kept = [pair for pair in pairs if unquote(pair.partition("=")[0]) != PACKAGE]
+    cookies = [cookie.strip().partition("=") for cookie in request.headers.get("cookie", "").split(";")]
+    carried = [value for name, _, value in cookies if name == PACKAGE]
+    if len(tokens) > 1 or len(carried) > 1:
+        raise MisuseError(401, "token-twice")
+    found = tokens or carried
+    if not found or not found[0]:
+        raise MisuseError(401, "token-missing")
+    return path + ("?" + "&".join(kept) if kept else ""), found[0]
+
+
+def decode_call(
+    request: HttpRequest, target: str, name: str, classes: Mapping[str, api.RequestClass]
+) -> Call:
+    """The call; MisuseError for a request that fits no class."""
+    found = PATH.fullmatch(target)
+    kind = classes.get(found[1]) if found else None
+    if found is None or kind is None or int(found[2]) > MAX_GROUP or int(found[4]) > MAX_PART:
+        raise MisuseError(404, "no-such-path")
+    if request.method != ("GET" if kind.safety is api.Safety.SAFE else "POST"):
+        raise MisuseError(405, "method")
+    key = request.headers.get("idempotency-key", "").strip('"')
+    if (kind.safety is api.Safety.KEYED or key) and not WORD.fullmatch(key):
+        raise MisuseError(400, "idempotency-key")
+    try:
+        asked = number(request.headers.get("x-ttl-ms", str(kind.give_up_ms)), 1e9, "ttl")
+        size = number(request.headers.get("x-working-set-kb", "0"), 1e9, "size")
+    except ProtocolError as error:
+        raise MisuseError(400, str(error)) from error
+    have = request.headers.get("if-none-match", "").strip('"')
+    return Call(
+        name=name,
+        class_name=kind.name,
+        object_id=found[3],
+        left_ms=min(asked, kind.give_up_ms),
+        part=int(found[4]),
+        group=int(found[2]),
+        size_kb=size,
+        idempotency_key=key if kind.safety is not api.Safety.SAFE else "",
+        have=have if WORD.fullmatch(have) else "",
+        body=request.body,
+    )
+
+
+def encode_answer(answer: Answer, keep: bool, extra: Mapping[str, str]) -> HttpResponse:
+    """``extra`` holds headers that only a served answer gets, as a renewed token's cookie."""
+    match answer:
+        case Served(content):
+            headers = {"Cache-Control": "private, no-store"} | dict(extra)
+            if content.tag:
+                headers["ETag"] = f'"{content.tag}"'
+            if content.same:
+                return HttpResponse(304, headers, b"", keep)
+            headers["Content-Type"] = "application/octet-stream"
+            return HttpResponse(200, headers, content.body, keep)
+        case Refused(wait_ms):
+            return HttpResponse(503, {"Retry-After": str(max(math.ceil(wait_ms / 1000), 1))}, b"", keep)
+        case Failed(timed_out):
+            return HttpResponse(504 if timed_out else 502, {}, b"", keep)
+
+
+def encode_misused(status: int, keep: bool) -> HttpResponse:
+    """No word here says that trying again is harmless: nothing is known of an earlier try."""
+    headers = {"WWW-Authenticate": "URISigning"} if status == 401 else {}
+    return HttpResponse(status, headers, b"", keep)
+
+
+def cookie_for(token: str, target: str, depth: int, lifetime_s: int) -> str:
+    """A renewed token as a cookie, for the path's first segments (none: for all paths)."""
+    segments = target.partition("?")[0].split("/")[1 : 1 + depth]
+    path = "/" + "/".join(segments)
+    return f"{PACKAGE}={token}; Path={path}; Max-Age={lifetime_s}; Secure; HttpOnly"
--- a/thornjunction/rules.py
+++ b/thornjunction/rules.py
@@ -17,6 +17,7 @@
 
 HALF_LIFE, KNOWN = 10_000.0, 0.5  # ms, of request counts (the design's); count that makes a copy likely there
 COPIES, SCORES, PURGES = 8192, 512, 4096  # in tables at most; with more purges, everything counts as purged
+EFFECTS, EFFECT_KEPT = 8192, 600_000.0  # keys of requests that may have run; ms for which they are known
 TOP, BOTTOM = 2 / 3, 1 / 3  # places that part the ranks: three equal shares
 W_START, W_STEP = 0.5, 0.05  # chance of d1 at the start, and its change a second: ten seconds to a limit
 FAST_GAIN, SLOW_GAIN = 0.1, 0.01  # of a sample in means: the last ten, hundred
@@ -135,6 +136,7 @@
         self.id, self.event, self.kind = event.request, event, kind
         self.work, self.mean, self.weight = work, mean, 1.0  # ms to send: own, class mean; share of mean
         self.aim = kind.aim_ms + kind.aim_stretch * work
+        self.effect = event.idempotency_key if kind.safety is api.Safety.KEYED else ""
         self.copy = mix(mix(event.key) ^ event.part)  # each part is kept as a copy of its own
         self.deadline, self.attempts, self.miss = now + event.left_ms - MARGIN, 0, False
         self.out: Attempt | None = None
@@ -166,6 +168,7 @@
         self.asked, self.load = 0.0, Mean(FAST_GAIN)  # sending time asked of this front: lately, and a ms
         self.fills, self.behind = Gate(), Gate()  # what is filled, and what parents fetch from the origin
         self.purges: dict[tuple[str, int], float] = {}
+        self.effects: dict[str, Attempt] = {}  # by idempotency key: the first attempt that may have run
         self.now = self.purged_all = -math.inf
         self.w, self.retries, self.next_token = W_START, RETRY_DEPTH, 0
 
@@ -222,13 +225,14 @@
     def on_request(self, event: api.Request) -> None:
         kind = self.classes.get(event.class_name)
         if kind is None or event.request in self.jobs:
-            return None if kind is not None else self.actions.append(api.Refuse(event.request))
+            return None if kind is not None else self.actions.append(self.refusal(event.request))
         size = event.size_kb if 0 < event.size_kb < math.inf else self.sizes[kind.name].get(1.0)
         self.sizes[kind.name].add(size)
         self.size.add(size / self.flow)
         mean = self.sizes[kind.name].get(size) / self.flow
         job = self.jobs[event.request] = Job(event, kind, size / self.flow, mean, self.now)
         job.weight, self.asked = job.work / self.size.get(job.work), self.asked + job.mean
+        job.maybe = self.effects.get(job.effect)
         self.retries = min(self.retries + RETRY_SHARE, RETRY_DEPTH)
         job.miss = self.count(job.copy) < KNOWN and not kind.passes
         self.next_token += 1
@@ -242,6 +246,7 @@
             return
         attempt.server.out.pop((event.request, event.attempt), None)
         self.learn(event, attempt)
+        self.settle(attempt, event.status)
         if job is None or job.out is not attempt:
             return
         job.out = None
@@ -336,6 +341,24 @@
         near = here.zone == there.zone if group is api.Group.ZONE else here.cell == there.cell
         return near or group is api.Group.ALL
 
+    def may_note(self, job: Job) -> bool:
+        """Rule 2 across a client's tries: what may have run is known by its key while a try may come.
+        Where no room is left for a new key, nothing is sent."""
+        oldest = next(iter(self.effects), "")
+        while oldest and self.now - self.effects[oldest].sent > EFFECT_KEPT:
+            del self.effects[oldest]
+            oldest = next(iter(self.effects), "")
+        return not job.effect or job.effect in self.effects or len(self.effects) < EFFECTS
+
+    def settle(self, attempt: Attempt, status: api.Status) -> None:
+        """An attempt that proves it never ran leaves its key to another that is out, or to none."""
+        effect = attempt.job.effect
+        if status in NEVER_RAN and self.effects.get(effect) is attempt:
+            del self.effects[effect]
+            other = next((out for out in self.flying.values() if out.job.effect == effect), None)
+            if other is not None:
+                self.effects[effect] = other
+
     def budget(self, server: Server) -> float:
         """Rule 4: sending time a ms that this front may ask of a cold server; infinite once it is warm."""
         share, warm_in, multiple, fronts, warm_load = self.cold[server.entry.role]
@@ -369,6 +392,7 @@
     def dispatch(self, job: Job) -> None:
         """Send the next attempt, or hold the request, or end it."""
         spent = job.attempts >= self.settings.max_attempts or (job.attempts > 0 and self.retries < 1)
+        spent = spent or not self.may_note(job)
         if self.now >= job.deadline or spent:
             return self.give_up(job)
         source = self.source(job)
@@ -388,6 +412,8 @@
         source = source if passes or self.fills.lets(self.random, job.weight) else None
         key, job.attempts = (job.id, job.attempts), job.attempts + 1
         job.out = self.flying[key] = server.out[key] = Attempt(server, source, self.now, job)
+        if job.effect:
+            self.effects.setdefault(job.effect, job.out)
         for asked, work in ((server, job.mean), (source, job.work)):
             if asked is not None:
                 self.within_budget(asked, work, take=True)
@@ -458,4 +484,9 @@
         """The final answer where nothing served: a refusal only if a repeat can do no harm."""
         harmless = job.kind.safety is api.Safety.SAFE or (job.out is None and job.maybe is None)
         self.close(job)
-        self.actions.append(api.Refuse(job.id) if harmless else api.Fail(job.id))
+        self.actions.append(self.refusal(job.id) if harmless else api.Fail(job.id))
+
+    def refusal(self, request: str) -> api.Refuse:
+        """What refuses now refuses in a moment too: the client is asked to stay away as long as it will."""
+        advice = self.settings.max_wait_advice_ms if self.settings.may_advise_wait else 0.0
+        return api.Refuse(request, advice)
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -45,6 +45,7 @@
 
     def start(self) -> None:
         """Replay what is known before anything listens; then serve."""
+        log.info("start name=%s sockets=%d %s", self.config.name, self.config.sockets, self.config.shelves)
         self.channel.apply(self.config.known)
         self.ready = True
         self.channel.start()
--- /dev/null
+++ b/thornjunction/signing/tokens.py
@@ -0,0 +1,218 @@
+"""Signed JWTs that carry a URI container; the cryptography is joserfc's, the matching of patterns RE2's."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+from base64 import urlsafe_b64encode
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import re2  # type: ignore[import-untyped]
+from joserfc import jwt
+from joserfc.errors import JoseError
+from joserfc.jwk import ECKey, OctKey
+
+MAX_TOKEN, MAX_PATTERN = 4096, 512  # characters
+ALGORITHMS = ("ES256", "HS256")  # those this program can be configured to allow
+UNDERSTOOD = frozenset(("iss", "aud", "exp", "nbf", "iat", "jti", "cdniv", "cdnicrit", "cdniuc")) | {
+    "cdniets",
+    "cdnistt",
+    "cdnistd",
+}
+COOKIE = 1  # the one value of cdnistt that asks for renewal here
+
+Key = ECKey | OctKey
+Claims = dict[str, Any]
+
+
+class TokenError(Exception):
+    """A token that admits nothing: the HTTP status and a code for the log; never the token itself."""
+
+    def __init__(self, status: int, code: str) -> None:
+        super().__init__(code)
+        self.status, self.code = status, code
+
+
+@dataclass(frozen=True, slots=True)
+class SigningKey:
+    """A key, the one algorithm it is for, and until when its tokens are taken (Unix seconds)."""
+
+    kid: str
+    algorithm: str
+    key: Key
+    until: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Trust:
+    """Whose tokens are taken."""
+
+    issuers: frozenset[str]
+    audience: str
+    algorithms: tuple[str, ...]
+    keys: Mapping[str, SigningKey]
+    sign_with: str  # the kid of the key that signs what is issued and renewed
+    skew_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A token that was taken: until when, and what it says of its renewal."""
+
+    claims: Claims
+
+    @property
+    def renew_s(self) -> int:
+        """Seconds that a renewed token lives; 0: it is not to be renewed."""
+        return int(self.claims.get("cdniets", 0)) if self.claims.get("cdnistt") == COOKIE else 0
+
+    @property
+    def depth(self) -> int:
+        """Path segments for which the renewed token is sent."""
+        return int(self.claims.get("cdnistd", 0))
+
+
+class Nonces:
+    """Tokens with a ``jti`` are taken once.  Bounded: while full of live ones it takes no more of them."""
+
+    def __init__(self, capacity: int = 16_384) -> None:
+        self.capacity = capacity
+        self._seen: dict[tuple[str, str], float] = {}  # by issuer and jti: when the token expires
+
+    def take(self, issuer: str, jti: str, expires: float, now: float) -> None:
+        if len(self._seen) >= self.capacity:
+            self._seen = {name: until for name, until in self._seen.items() if until > now}
+        if self._seen.get((issuer, jti), -1.0) > now:
+            raise TokenError(403, "token-replayed")
+        if len(self._seen) >= self.capacity:
+            raise TokenError(403, "token-nonces-full")
+        self._seen[issuer, jti] = expires
+
+
+def verify(token: str, uri: str, trust: Trust, nonces: Nonces, now: float) -> Grant:
+    """The grant for a URI (without its token) at a Unix time in seconds; TokenError otherwise."""
+    if len(token) > MAX_TOKEN:
+        raise TokenError(401, "token-size")
+    claims = _decode(token, trust, now)
+    _check_times(claims, trust.skew_s, now)
+    _check_parties(claims, trust)
+    _check_extensions(claims)
+    _check_container(claims.get("cdniuc"), uri)
+    if "jti" in claims:
+        expires = float(claims["exp"]) + trust.skew_s
+        nonces.take(str(claims["iss"]), _text(claims, "jti"), expires, now)
+    return Grant(claims)
+
+
+def _decode(token: str, trust: Trust, now: float) -> Claims:
+    def find(signed: Any) -> Key:
+        header = signed.headers()
+        found = trust.keys.get(str(header.get("kid", "")))
+        if found is None or header.get("alg") != found.algorithm:
+            raise TokenError(401, "token-key")  # also where a key is named for another's algorithm
+        if found.until is not None and now > found.until:
+            raise TokenError(401, "token-key-retired")
+        return found.key
+
+    try:
+        return dict(jwt.decode(token, find, algorithms=list(trust.algorithms)).claims)
+    except (JoseError, ValueError, TypeError, KeyError, RecursionError) as error:
+        raise TokenError(401, "token-forged") from error
+
+
+def _check_times(claims: Claims, skew: float, now: float) -> None:
+    if now > _number(claims, "exp", None) + skew:
+        raise TokenError(401, "token-expired")
+    for name in ("nbf", "iat"):
+        if now < _number(claims, name, 0.0) - skew:
+            raise TokenError(401, "token-early")
+
+
+def _check_parties(claims: Claims, trust: Trust) -> None:
+    if claims.get("iss") not in trust.issuers:
+        raise TokenError(403, "token-issuer")
+    told = claims.get("aud")
+    if trust.audience not in (told if isinstance(told, list) else [told]):
+        raise TokenError(403, "token-audience")
+
+
+def _check_extensions(claims: Claims) -> None:
+    """What the RFC adds, and what an issuer marks as critical, must be understood."""
+    if claims.get("cdniv", 1) != 1:
+        raise TokenError(403, "token-version")
+    critical = claims.get("cdnicrit", "")
+    if not isinstance(critical, str) or not UNDERSTOOD.issuperset(filter(None, critical.split(","))):
+        raise TokenError(403, "token-critical")
+    if "cdniip" in claims:  # bound to a client address, which an external processor does not see
+        raise TokenError(403, "token-address")
+    for name in ("cdniets", "cdnistt", "cdnistd"):
+        told = claims.get(name, 0)
+        if not isinstance(told, int) or isinstance(told, bool) or told < 0:
+            raise TokenError(403, "token-renewal")
+    if claims.get("cdnistt", 0) not in (0, COOKIE):
+        raise TokenError(403, "token-transport")
+
+
+def _check_container(container: Any, uri: str) -> None:
+    kind, _, value = container.partition(":") if isinstance(container, str) else ("", "", "")
+    if kind == "hash":
+        if not hmac.compare_digest(value.encode(), hash_of(uri).encode()):
+            raise TokenError(403, "token-path")
+    elif kind == "regex" and len(value) <= MAX_PATTERN:
+        if not _matches(value, uri):
+            raise TokenError(403, "token-path")
+    else:
+        raise TokenError(403, "token-container")
+
+
+def _matches(pattern: str, uri: str) -> bool:
+    """POSIX extended syntax, over the whole URI, in linear time."""
+    options = re2.Options()
+    options.posix_syntax, options.log_errors = True, False
+    try:
+        return re2.fullmatch(pattern, uri, options) is not None
+    except re2.error as error:
+        raise TokenError(403, "token-container") from error
+
+
+def hash_of(uri: str) -> str:
+    """The value of a hash container."""
+    digest = hashlib.sha256(uri.encode()).digest()
+    return "sha-256;" + urlsafe_b64encode(digest).rstrip(b"=").decode()
+
+
+def issue(trust: Trust, container: str, now: float, lifetime_s: int, **claims: Any) -> str:
+    """A new token; further claims (``cdniets``, ``cdnistt``, ``jti``) by name."""
+    told = {"iss": min(trust.issuers), "aud": trust.audience, "iat": int(now), "exp": int(now) + lifetime_s}
+    return _sign(trust, told | {"cdniv": 1, "cdniuc": container} | claims)
+
+
+def renew(trust: Trust, grant: Grant, now: float) -> str:
+    """The same claims with a new expiry, by the key that signs now; a token used once gets a new name."""
+    claims = grant.claims | {"exp": int(now) + grant.renew_s, "iat": int(now)}
+    if "jti" in claims:
+        claims["jti"] = secrets.token_urlsafe(16)
+    return _sign(trust, claims)
+
+
+def _sign(trust: Trust, claims: Claims) -> str:
+    signer = trust.keys[trust.sign_with]
+    header = {"alg": signer.algorithm, "kid": signer.kid, "typ": "JWT"}
+    return jwt.encode(header, claims, signer.key, algorithms=[signer.algorithm])
+
+
+def _number(claims: Claims, name: str, default: float | None) -> float:
+    told = claims.get(name, default)
+    if not isinstance(told, int | float) or isinstance(told, bool) or not abs(told) < 1e15:
+        raise TokenError(401, f"token-{name}")
+    return float(told)
+
+
+def _text(claims: Claims, name: str) -> str:
+    told = claims.get(name)
+    if not isinstance(told, str) or not 0 < len(told) <= 256:
+        raise TokenError(401, f"token-{name}")
+    return told
