--- /dev/null
+++ b/tests/test_signed_front.py
@@ -0,0 +1,231 @@
+"""The second front on loopback, from request to answer, over the real core."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.trial.unittest import TestCase
+
+from tests.standins import ALERT, CLIP, TRUST, Client, Rig
+from tests.test_wire import PARAMS, asked
+from thornjunction.net.wire import fastcgi
+from thornjunction.signing import tokens
+
+
+class SignedFrontTest(TestCase):
+    timeout = 20
+
+    def setUp(self) -> None:
+        self.rig = Rig()
+        self.addCleanup(self.rig.stop)
+
+    def connect(self) -> Any:
+        return self.rig.client()
+
+    @inlineCallbacks
+    def ask(self, target: str, method: str = "GET", **headers: str) -> Any:
+        client = yield self.connect()
+        client.ask(target, method, **headers)
+        (response,) = yield client.has(1)
+        client.transport.loseConnection()
+        yield client.ended
+        self.assertEqual(len(client.responses), 1)
+        return response
+
+    @inlineCallbacks
+    def test_signed_is_served_once(self) -> Any:
+        response = yield self.ask(self.rig.signed(CLIP))
+        self.assertEqual((response.status, response.body, response.headers["etag"]), (200, b"wave", '"t1"'))
+        self.assertIn(b"profile=films,thing=7f3a9c21e0b4d655,nth=0", self.rig.wants()[0][2])
+
+    @inlineCallbacks
+    def test_what_is_not_admitted_never_reaches_the_core(self) -> Any:
+        good, other = self.rig.token(CLIP), self.rig.token(CLIP.replace("/0", "/1"))
+        far = "X" * 5000
+        bad = {
+            CLIP: 401,
+            f"{CLIP}?URISigningPackage=": 401,
+            f"{CLIP}?URISigningPackage={good[:-4]}AAAA": 401,
+            f"{CLIP}?URISigningPackage={good}&URISigningPackag%65={good}": 401,
+            f"{CLIP}?URISigningPackage={far}": 401,
+            f"{CLIP}?URISigningPackage={self.rig.token(CLIP, -10)}": 401,
+            f"{CLIP}?URISigningPackage={other}": 403,
+            f"{CLIP}?URISigningPackage={self.rig.token(CLIP, iss='Else')}": 403,
+            f"{CLIP}?x=1&URISigningPackage={good}": 403,
+        }
+        for target, status in bad.items():
+            response = yield self.ask(target)
+            self.assertEqual(response.status, status, target[:60])
+            self.assertNotIn("retry-after", response.headers)
+        self.assertEqual((self.rig.heard, dict(self.rig.counters.counts)), ([], {}))
+
+    @inlineCallbacks
+    def test_a_token_that_expires_midway_admits_its_answer_and_nothing_new(self) -> Any:
+        self.rig.script = [None]
+        client, wanted = (yield self.connect()), self.rig.next_want()
+        target = self.rig.signed(CLIP)
+        client.ask(target)
+        yield wanted
+        self.rig.now += 100.0
+        client.ask(target)
+        link, ident = self.rig.asked[0]
+        link.say(ident, b"DONE", b"w" * 240_000)
+        first, second = yield client.has(2)
+        self.assertEqual((first.status, len(first.body), second.status), (200, 240_000, 401))
+        self.assertEqual(len(self.rig.wants()), 1)
+        client.transport.loseConnection()
+        yield client.ended
+
+    @inlineCallbacks
+    def test_a_cookie_renews_and_is_taken(self) -> Any:
+        response = yield self.ask(self.rig.signed(CLIP, cdniets=30, cdnistt=1, cdnistd=2))
+        cookie = response.headers["set-cookie"]
+        self.assertIn("; Path=/films/17; Max-Age=30;", cookie)
+        self.rig.now += 20.0
+        response = yield self.ask(CLIP, Cookie=cookie.partition(";")[0])
+        self.assertEqual(response.status, 200)
+        self.rig.now += 100.0
+        response = yield self.ask(CLIP, Cookie=cookie.partition(";")[0])
+        self.assertEqual(response.status, 401)
+
+    @inlineCallbacks
+    def test_a_deadline_is_a_504_and_the_attempt_is_called_off(self) -> Any:
+        self.rig.script = [None] * 9
+        response = yield self.ask(self.rig.signed(ALERT), "POST", X_Ttl_Ms="80", Idempotency_Key="k1")
+        self.assertEqual(response.status, 504)
+        yield self.rig.until(lambda: any(heard[0] == "never_mind" for heard in self.rig.heard))
+
+    @inlineCallbacks
+    def test_a_refusal_says_when_to_come_back_and_a_failure_does_not(self) -> Any:
+        self.rig.script = [(b"LACK", b"")]
+        response = yield self.ask(self.rig.signed(CLIP))
+        self.assertEqual((response.status, response.headers["retry-after"]), (503, "1"))
+        self.rig.script = [(b"BROKE", b"")] * 9
+        response = yield self.ask(self.rig.signed(ALERT), "POST", Idempotency_Key="k2")
+        self.assertEqual(response.status, 502)
+        self.assertNotIn("retry-after", response.headers)
+
+    @inlineCallbacks
+    def test_a_client_that_leaves_cancels(self) -> Any:
+        self.rig.script = [None]
+        client, wanted = (yield self.connect()), self.rig.next_want()
+        client.ask(self.rig.signed(CLIP))
+        yield wanted
+        client.transport.abortConnection()
+        yield self.rig.until(lambda: any(heard[0] == "never_mind" for heard in self.rig.heard))
+        link, ident = self.rig.asked[0]
+        link.say(ident, b"DONE", b"late")
+        self.assertEqual(len(self.rig.engine.requests), 0)
+        self.assertEqual(self.rig.counters.counts["requests.films.abandoned"], 1)
+
+    @inlineCallbacks
+    def test_a_rejected_try_of_an_alert_sends_nothing_and_forgets_nothing(self) -> Any:
+        self.rig.script = [None]
+        target, how = self.rig.signed(ALERT), {"X_Ttl_Ms": "60", "Idempotency_Key": "k3"}
+        response = yield self.ask(target, "POST", **how)
+        self.assertEqual(response.status, 504)
+        for unsigned in (ALERT, f"{ALERT}?URISigningPackage={self.rig.token(CLIP)}"):
+            response = yield self.ask(unsigned, "POST", **how)
+            self.assertIn(response.status, (401, 403))
+            self.assertNotIn("retry-after", response.headers)
+        self.assertEqual(len(self.rig.wants()), 1)
+        for effect in self.rig.engine.router.effects.values():
+            effect.sent -= 10_000.0  # the archive has forgotten the first try by now
+        response = yield self.ask(target, "POST", **how)
+        self.assertIn(response.status, (502, 504))
+        self.assertEqual(len(self.rig.wants()), 1)
+
+    @inlineCallbacks
+    def test_malformed_input_ends_its_connection_only(self) -> Any:
+        client = yield self.connect()
+        client.transport.write(b"\x00\xff junk\r\n\r\n")
+        (response,) = yield client.has(1)
+        self.assertEqual(response.status, 400)
+        yield client.ended
+        response = yield self.ask(self.rig.signed(CLIP))
+        self.assertEqual(response.status, 200)
+
+    @inlineCallbacks
+    def test_the_platforms_front_shares_the_core(self) -> Any:
+        client = yield self.rig.client(3, FcgiClient)
+        params = PARAMS | {"SCRIPT_NAME": "/do/films"}
+        client.transport.write(asked(7, params, b"") + asked(9, {"SCRIPT_NAME": "/check"}, b""))
+        yield self.rig.until(lambda: len(client.ends()) == 2)
+        self.assertEqual(client.output(7), b"Status: 200\r\n\r\nwave")
+        self.assertEqual(client.output(9), b"Status: 200\r\n\r\n")
+        self.rig.script, wanted = [None], self.rig.next_want()
+        client.transport.write(asked(11, params, b""))
+        yield wanted
+        client.transport.write(fastcgi.encode_record(fastcgi.ABORT, 11, b""))
+        yield self.rig.until(lambda: any(heard[0] == "never_mind" for heard in self.rig.heard))
+        self.assertEqual(len(client.ends()), 2)
+        client.transport.write(b"junk that is no record")
+        yield client.ended
+
+
+class FcgiClient(Client):
+    def __init__(self) -> None:
+        super().__init__()
+        self.records: list[fastcgi.Record] = []
+        self.cutter = fastcgi.RecordReader()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.records += self.cutter.feed(data)
+
+    def ends(self) -> list[fastcgi.Record]:
+        return [record for record in self.records if record.kind == fastcgi.END]
+
+    def output(self, ident: int) -> bytes:
+        told = [r.content for r in self.records if r.kind == fastcgi.STDOUT and r.request_id == ident]
+        return b"".join(told)
+
+
+def rejected(token: str, uri: str, now: float = 100.0, nonces: tokens.Nonces | None = None) -> str:
+    try:
+        tokens.verify(token, uri, TRUST, nonces or tokens.Nonces(), now)
+    except tokens.TokenError as error:
+        assert token not in repr(error)
+        return error.code
+    return ""
+
+
+def test_times_keys_and_containers() -> None:
+    uri = "https://cams.example/films/17/7f3a9c21e0b4d655/0"
+    pattern = "regex:https://cams\\.example/films/[0-9]+/.*"
+
+    def issued(container: str = pattern, **claims: Any) -> str:
+        return tokens.issue(TRUST, container, 100.0, 60, **claims)
+
+    assert rejected(issued(), uri) == "" and rejected(issued(), uri, 165.0) == ""
+    assert rejected(issued(), uri, 165.1) == "token-expired"
+    assert rejected(issued(nbf=110), uri) == "token-early" and rejected(issued(nbf=105), uri) == ""
+    assert rejected(issued(), uri.replace("films", "else")) == "token-path"
+    assert rejected(issued("regex:("), uri) == "token-container"
+    assert rejected(issued(cdnicrit="cdniuc,new"), uri) == "token-critical"
+    assert rejected(issued(cdniip="x"), uri) == "token-address"
+    assert rejected(issued(aud=["a", "tj"]), uri) == "" and rejected(issued(aud="a"), uri) != ""
+    nonces = tokens.Nonces(1)
+    assert rejected(issued(jti="a"), uri, nonces=nonces) == ""
+    assert rejected(issued(jti="a"), uri, nonces=nonces) == "token-replayed"
+    assert rejected(issued(jti="b"), uri, nonces=nonces) == "token-nonces-full"
+
+
+def test_rotation_and_algorithms() -> None:
+    from dataclasses import replace
+
+    from joserfc import jwt
+    from joserfc.jwk import ECKey
+
+    uri = "https://cams.example/x"
+    container = "hash:" + tokens.hash_of(uri)
+    for kid, code in (("new", ""), ("old", ""), ("retired", "token-key-retired")):
+        assert rejected(tokens.issue(replace(TRUST, sign_with=kid), container, 100.0, 60), uri) == code
+    key = ECKey.generate_key("P-256")
+    claims = {"iss": "Reefline", "aud": "tj", "exp": 200, "cdniuc": container}
+    assert rejected(jwt.encode({"alg": "ES256", "kid": "new"}, claims, key), uri) == "token-forged"
+    strange = TRUST.keys["new"].key
+    assert rejected(jwt.encode({"alg": "HS256", "kid": "none"}, claims, strange), uri) == "token-key"
+    assert rejected("eyJhbGciOiJub25lIiwia2lkIjoibmV3In0.e30.", uri) in ("token-key", "token-forged")
+    renewed = tokens.renew(TRUST, tokens.Grant(claims | {"cdniets": 30, "cdnistt": 1, "jti": "j"}), 150.0)
+    assert rejected(renewed, uri, 180.0) == "" and rejected(renewed, uri, 190.0) == "token-expired"
--- a/thornjunction/__main__.py
+++ b/thornjunction/__main__.py
@@ -6,10 +6,12 @@
 import logging
 import os
 import sys
+from pathlib import Path
 
 from thornjunction.core.counters import Counters
-from thornjunction.runtime.config import ConfigError, load_config
+from thornjunction.runtime.config import ConfigError, load_config, load_extras
 
+EXTRAS = Path(__file__).resolve().parent.parent / "deploy" / "extras.toml"
 GC_THRESHOLDS = 20_000, 50, 100  # few cycles are made; the default looks for them several times a millisecond
 
 
@@ -18,6 +20,7 @@
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(name)s %(message)s")
     try:
         config = load_config(os.environ)
+        extras = load_extras(EXTRAS)
     except ConfigError as error:
         print(f"thornjunction: {error}", file=sys.stderr)
         return 2
@@ -27,7 +30,7 @@
 
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    Service(config, reactor, Counters()).run()
+    Service(config, extras, reactor, Counters()).run()
     return 0
 
 
--- /dev/null
+++ b/thornjunction/core/admission.py
@@ -0,0 +1,29 @@
+"""Keeps the process from taking on more than its core can decide in time.
+
+Measured on the calm day: one router is asked for 2,000 to 5,000 requests a second, and decides at most about
+2,000.  Without this, all wait together until all are late, and the module's gates shut on healthy shelfs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+TICK_MS, LATE_MS = 10.0, 20.0  # between looks at the loop; how late a look may come
+CUT, RAISE, LEAST = 0.9, 0.01, 0.1  # of the admitted share: for each late look and each timely one
+
+
+class Admission:
+    """Admits a share of new requests, by how late the event loop runs."""
+
+    def __init__(self, draw: Callable[[], float]) -> None:
+        self.draw, self.share = draw, 1.0
+
+    def looked(self, late_ms: float) -> None:
+        """Late by several ticks counts as several late looks."""
+        if late_ms > LATE_MS:
+            self.share = max(self.share * CUT ** min(late_ms / LATE_MS, 4.0), LEAST)
+        else:
+            self.share = min(self.share + RAISE, 1.0)
+
+    def admits(self) -> bool:
+        return self.share >= 1.0 or self.draw() < self.share
--- a/thornjunction/net/front_fastcgi.py
+++ b/thornjunction/net/front_fastcgi.py
@@ -115,9 +115,10 @@
         clock: Callable[[], float],
         core: Core,
         ready: Callable[[], bool],
+        busy: Callable[[], bytes],
     ) -> None:
         super().__init__(table, deadlines, clock)
-        self.core, self.ready = core, ready
+        self.core, self.ready, self.busy = core, ready, busy
         self.reader = fastcgi.RequestReader()
         self.pending: dict[int, Pending] = {}
 
@@ -160,6 +161,9 @@
         if asked.params.get("SCRIPT_NAME") == platform.CHECK:
             said = platform.READY if self.ready() else platform.NOT_READY
             return self._write(ident, fastcgi.encode_answer(ident, said), asked.keep)
+        busy = self.busy()
+        if busy:
+            return self._write(ident, fastcgi.encode_answer(ident, busy), asked.keep)
         try:
             call = platform.decode_call(asked.params, asked.body)
         except ProtocolError:
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
+from datetime import datetime
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
 
+from joserfc.errors import JoseError
+from joserfc.jwk import ECKey, OctKey
+
 from thornjunction import interface as api
 from thornjunction.net.shelves import Limits
 from thornjunction.net.wire import ProtocolError
 from thornjunction.net.wire.commands import Commands, parse_address, read_commands
 from thornjunction.settings import Params, WireError, parse_json, read_roles, read_settings
+from thornjunction.signing.tokens import ALGORITHMS, Key, SigningKey, Trust
 
 
 class ConfigError(Exception):
@@ -97,3 +104,102 @@
         return read_commands(told)
     except ProtocolError as error:
         raise ConfigError("known: not a list of commands") from error
+
+
+@dataclass(frozen=True, slots=True)
+class SignedFront:
+    """Where the second front listens and whose tokens it takes."""
+
+    listen: tuple[str, int]
+    base: str
+    trust: Trust
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsTargets:
+    """Where figures go, and how often."""
+
+    interval_s: float
+    prefix: str
+    graphite: tuple[str, int] | None
+    collectd: tuple[str, int] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Extras:
+    """What the operators' file under deploy/ turns on; off where there is no file."""
+
+    signed: SignedFront | None = None
+    metrics: MetricsTargets | None = None
+
+
+def load_extras(path: Path) -> Extras:
+    """The extras of a file; none if it does not exist."""
+    if not path.exists():
+        return Extras()
+    try:
+        top = Params(tomllib.loads(path.read_text(encoding="utf-8")))
+        return Extras(
+            signed=_signed(top, path.parent) if "signed" in top.data else None,
+            metrics=_metrics(top.below("metrics")) if "metrics" in top.data else None,
+        )
+    except (OSError, tomllib.TOMLDecodeError, WireError) as error:
+        raise ConfigError(f"{path.name}: {error}") from error
+
+
+def _signed(top: Params, folder: Path) -> SignedFront:
+    front = top.below("signed")
+    listen = _address("signed.listen", front.get("listen", str))
+    if not ip_address(listen[0]).is_loopback:
+        raise ConfigError("signed.listen: not a loopback address")
+    base = front.get("base", str)
+    if not base.startswith(("http://", "https://")) or base.count("/") != 2:
+        raise ConfigError("signed.base: not a scheme and a host")
+    return SignedFront(listen, base, _trust(front, folder))
+
+
+def _trust(front: Params, folder: Path) -> Trust:
+    algorithms = tuple(front.get("algorithms", list))
+    if not algorithms or not set(algorithms) <= set(ALGORITHMS):
+        raise ConfigError(f"signed.algorithms: not a list of {', '.join(ALGORITHMS)}")
+    keys = [_key(data, place, folder, algorithms) for place, data in enumerate(front.get("keys", list))]
+    trust = Trust(
+        issuers=frozenset(front.get("issuers", list)),
+        audience=front.get("audience", str),
+        algorithms=algorithms,
+        keys={key.kid: key for key in keys},
+        sign_with=front.get("sign_with", str),
+        skew_s=front.number("skew_s", 5.0),
+    )
+    if not trust.issuers:
+        raise ConfigError("signed.issuers: empty")
+    if trust.sign_with not in trust.keys or len(trust.keys) < len(keys):
+        raise ConfigError("signed.sign_with: names no key, or two keys have one kid")
+    return trust
+
+
+def _key(data: Any, place: int, folder: Path, algorithms: tuple[str, ...]) -> SigningKey:
+    name = f"signed.keys[{place}]"
+    params = Params(data, f"{name}.")
+    algorithm, until = params.get("algorithm", str), params.data.get("until")
+    if algorithm not in algorithms:
+        raise ConfigError(f"{name}.algorithm: not among signed.algorithms")
+    if until is not None and not isinstance(until, datetime):
+        raise ConfigError(f"{name}.until: not a date and time")
+    try:
+        told = parse_json((folder / params.get("file", str)).read_bytes())
+        key: Key = ECKey.import_key(told) if algorithm == "ES256" else OctKey.import_key(told)
+    except (OSError, WireError, JoseError, ValueError, TypeError, KeyError) as error:
+        raise ConfigError(f"{name}.file: no such JSON Web Key") from error  # its text must not be shown
+    return SigningKey(params.get("kid", str), algorithm, key, until.timestamp() if until else None)
+
+
+def _metrics(params: Params) -> MetricsTargets:
+    targets = {name: params.data.get(name) for name in ("graphite", "collectd")}
+    addresses = {n: _address(f"metrics.{n}", str(told)) if told else None for n, told in targets.items()}
+    return MetricsTargets(
+        interval_s=max(params.number("interval_s", 10.0), 0.1),
+        prefix=params.get("prefix", str, "thornjunction"),
+        graphite=addresses["graphite"],
+        collectd=addresses["collectd"],
+    )
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -3,22 +3,30 @@
 from __future__ import annotations
 
 import logging
+import random
 import signal
+import time
 from collections.abc import Callable
 from typing import Any
 
 from thornjunction import interface as api
+from thornjunction.core.admission import TICK_MS, Admission
+from thornjunction.core.counters import Counters
 from thornjunction.core.engine import Engine
-from thornjunction.core.ports import Observer
+from thornjunction.core.ports import Refused
 from thornjunction.memory.slots import SlotTable
 from thornjunction.net.alarm import Alarm, core_ms, unix_to_core
 from thornjunction.net.channel import Channel
 from thornjunction.net.front_fastcgi import ClientLink, FastCgiLink
+from thornjunction.net.front_signed import Door, SignedLink
+from thornjunction.net.metrics import Metrics
 from thornjunction.net.shelves import ShelfPool
 from thornjunction.net.transport import Building, server_endpoint
+from thornjunction.net.wire import platform
 from thornjunction.net.wire.commands import Command, Host, ListChange
 from thornjunction.rules import Router
-from thornjunction.runtime.config import Config
+from thornjunction.runtime.config import Config, Extras, MetricsTargets, SignedFront
+from thornjunction.signing.tokens import Nonces
 
 ACCEPT_MS = 800.0  # after SIGTERM: new connections come for 400 ms, requests on open ones for 200 ms more
 LOOK_MS, FLUSH_MS = 20.0, 500.0  # between looks whether all is answered; for the last bytes to go out
@@ -29,18 +37,24 @@
 class Service:
     """One request router from its start to its exit."""
 
-    def __init__(self, config: Config, reactor: Any, observer: Observer) -> None:
+    def __init__(self, config: Config, extras: Extras, reactor: Any, counters: Counters) -> None:
         self.config, self.reactor = config, reactor
         self.alarm = Alarm(reactor)
         deadlines = self.alarm.deadlines
         self.pool = ShelfPool(reactor, config.shelves, deadlines, core_ms)
         router = Router(config.settings, config.seed)
         attempts = config.settings.max_attempts
-        self.engine = Engine(router, attempts, core_ms, deadlines, self.pool, observer)
+        self.engine = Engine(router, attempts, core_ms, deadlines, self.pool, counters)
         self.pool.ends = self.engine
         self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take)
         self.clients: SlotTable[ClientLink] = SlotTable(max(config.sockets // 3, 1))
         self.ready = self.draining = False
+        self.admission = Admission(random.Random(config.seed).random)
+        wait_ms = config.settings.max_wait_advice_ms if config.settings.may_advise_wait else 0.0
+        self._refusal = platform.encode_cgi(Refused(wait_ms))
+        self.door = self._door(extras.signed) if extras.signed else None
+        self.metrics = self._metrics(extras.metrics, counters) if extras.metrics else None
+        self.signed = extras.signed
         self._ports: list[Any] = []
 
     def start(self) -> None:
@@ -49,8 +63,22 @@
         self.channel.apply(self.config.known)
         self.ready = True
         self.channel.start()
+        self._watch(core_ms())
         host, port = self.config.listen
         self.listen(host, port, self._platform_link)
+        if self.signed is not None:
+            self.listen(*self.signed.listen, self._signed_link)
+        if self.metrics is not None:
+            self.metrics.start()
+
+    def _watch(self, due: float) -> None:
+        now = core_ms()
+        self.admission.looked(now - due)
+        self.alarm.deadlines.add(now + TICK_MS, lambda: self._watch(now + TICK_MS))
+
+    def busy(self) -> bytes:
+        """What to answer where the core is to be spared; empty where it is not."""
+        return b"" if self.admission.admits() else self._refusal
 
     def listen(self, host: str, port: int, build: Callable[[], ClientLink]) -> None:
         """Open a front; a port that can't be had ends the program with a message."""
@@ -62,7 +90,24 @@
         self.reactor.stop()
 
     def _platform_link(self) -> FastCgiLink:
-        return FastCgiLink(self.clients, self.alarm.deadlines, core_ms, self.engine, self.is_ready)
+        return FastCgiLink(self.clients, self.alarm.deadlines, core_ms, self.engine, self.is_ready, self.busy)
+
+    def _signed_link(self) -> SignedLink:
+        assert self.door is not None
+        return SignedLink(self.clients, self.alarm.deadlines, core_ms, self.door)
+
+    def _door(self, front: SignedFront) -> Door:
+        classes = {kind.name: kind for kind in self.config.settings.classes}
+        return Door(self.engine, classes, front.base, front.trust, Nonces(), time.time)
+
+    def _metrics(self, targets: MetricsTargets, counters: Counters) -> Metrics:
+        deadlines, name = self.alarm.deadlines, self.config.name
+        metrics = Metrics(self.reactor, deadlines, core_ms, time.time, counters, name, targets.interval_s)
+        if targets.graphite is not None:
+            metrics.to_graphite(targets.graphite, targets.prefix)
+        if targets.collectd is not None:
+            metrics.to_collectd(targets.collectd)
+        return metrics
 
     def is_ready(self) -> bool:
         return self.ready and not self.draining
