--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+VENV ?= .venv-ci
+BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
+
+.PHONY: build dev lint test check run sim
+
+build:
+	$(BUILD)
+
+dev:
+	cat requirements.txt requirements-dev.txt | cmp -s - $(VENV)/ready || \
+	(rm -rf $(VENV) && python3 -m venv $(VENV) && $(VENV)/bin/pip -q install -r requirements-dev.txt && \
+	cat requirements.txt requirements-dev.txt > $(VENV)/ready)
+
+lint: dev
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/mypy
+
+test: dev
+	$(VENV)/bin/python -m pytest -q
+
+check: lint test
+
+run: build
+	exec .venv/bin/python -m thornjunction
+
+sim: build
+	exec .venv/bin/python -m thornjunction.adapter
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,214 @@
+"""Slots, deadlines, the engine, admission and the configuration, with a fake clock and fake ports."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.helpers import Bench, fetch_of, finals
+from tests.test_adapter import PARAMS as SETTINGS
+from thornjunction import interface as api
+from thornjunction.core.admission import LEAST, Admission
+from thornjunction.core.counters import Counters
+from thornjunction.core.engine import Engine
+from thornjunction.core.ports import Answer, Call, Content, Failed, Order, Refused, Served
+from thornjunction.memory.deadlines import Deadlines
+from thornjunction.memory.slots import SlotTable
+from thornjunction.net.channel import Channel
+from thornjunction.net.wire.commands import Commands, Purge
+from thornjunction.runtime.config import ConfigError, load_extras, parse_config
+from thornjunction.signing.__main__ import main as sign
+
+CALL = Call("t1", "films", "00000000000000ff", 1000.0)
+
+
+def test_a_stale_number_does_not_find_the_next_tenant() -> None:
+    table: SlotTable[str] = SlotTable(2)
+    first, second = table.add("a"), table.add("b")
+    assert first is not None and second is not None and table.add("c") is None
+    assert table.remove(first) == "a" and table.remove(first) is None
+    assert table.add("d") not in (first, second) and table.get(first) is None and list(table) == ["b", "d"]
+
+
+def test_deadlines_run_in_order_and_are_bounded() -> None:
+    told: list[str] = []
+    deadlines = Deadlines(limit=300)
+    later = deadlines.add(5.0, lambda: told.append("later"))
+    deadlines.add(2.0, lambda: (told.append("first"), deadlines.cancel(later))[0])
+    deadlines.add(5.0, lambda: told.append("last"))
+    deadlines.run_due(1.0)
+    deadlines.run_due(9.0)
+    assert told == ["first", "last"] and len(deadlines) == 0
+    for _ in range(1000):
+        deadlines.cancel(deadlines.add(7.0, lambda: None))
+    assert len(deadlines) == 0 and deadlines.next_due() == float("inf")
+    with pytest.raises(OverflowError):
+        for _ in range(301):
+            deadlines.add(1.0, lambda: None)
+
+
+class Script:
+    """A router that does what it is told, and ports that remember."""
+
+    def __init__(self) -> None:
+        self.now, self.events, self.steps = 0.0, [], []  # type: ignore[var-annotated]
+        self.sent: list[Order] = []
+        self.given_up: list[int] = []
+        self.answers: list[Answer] = []
+        self.deadlines, self.counters = Deadlines(), Counters()
+        self.engine = Engine(self, 2, lambda: self.now, self.deadlines, self, self.counters)
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.events.append(event)
+        return self.steps.pop(0) if self.steps else []
+
+    def send(self, order: Order) -> None:
+        self.sent.append(order)
+
+    def give_up(self, number: int) -> None:
+        self.given_up.append(number)
+
+    def probe(self, server: str) -> None:
+        raise NotImplementedError
+
+    def open(self) -> int:
+        self.steps = [[api.Fetch("0", "s", 500.0, "s")]]
+        number = self.engine.open(CALL, self.answers.append)
+        assert number is not None
+        return number
+
+    def pass_time(self, ms: float) -> None:
+        self.now += ms
+        self.deadlines.run_due(self.now)
+
+
+def test_the_first_answer_is_the_only_one() -> None:
+    script = Script()
+    number = script.open()
+    script.steps = [[api.Fail(str(number)), api.Refuse(str(number))]]
+    script.engine.ended(script.sent[0].number, api.Status.DONE, Content(b"x"))
+    script.engine.ended(script.sent[0].number, api.Status.RESET)
+    script.pass_time(2000.0)
+    assert script.answers == [Served(Content(b"x"))]
+    assert isinstance(script.events[-1], api.Outcome) and script.events[-1].final
+
+
+def test_a_time_out_gives_up_and_is_told_once() -> None:
+    script = Script()
+    number = script.open()
+    script.pass_time(500.0)
+    script.engine.ended(script.sent[0].number, api.Status.DONE, Content(b"late"))
+    assert [e.status for e in script.events if isinstance(e, api.Outcome)] == [api.Status.TIMEOUT]
+    assert script.given_up == [script.sent[0].number] and script.answers == []
+    script.steps = [[api.Refuse(str(number), 40.0)]]
+    script.engine.feed(api.TimerFired(1))
+    assert script.answers == [Refused(40.0)]
+
+
+def test_an_error_in_the_module_still_ends_in_an_answer() -> None:
+    script = Script()
+    script.open()
+    script.steps = [None]  # type: ignore[list-item]
+    script.handle = lambda now, event: 1 / 0  # type: ignore[method-assign,assignment,return-value]
+    script.engine.ended(script.sent[0].number, api.Status.ERROR)
+    script.pass_time(1000.0)
+    assert script.answers == [Failed(timed_out=True)]
+
+
+def test_attempts_past_the_cap_are_skipped() -> None:
+    script = Script()
+    number = script.open()
+    script.steps = [[api.Fetch(str(number), "s", 1.0, "s")] * 2]
+    script.engine.feed(api.TimerFired(1))
+    assert len(script.sent) == 2 and script.events[-1].status is api.Status.SKIPPED
+    script.engine.abandon(number)
+    script.engine.abandon(number)
+    assert script.events[-1] == api.ClientGone(str(number)) and script.answers == []
+    assert script.counters.counts["requests.films.abandoned"] == 1
+
+
+def test_admission_falls_with_lateness_and_recovers() -> None:
+    gate = Admission(lambda: 0.5)
+    gate.looked(1.0)
+    assert gate.admits()
+    for _ in range(50):
+        gate.looked(100.0)
+    assert gate.share == LEAST and not gate.admits()
+    for _ in range(100):
+        gate.looked(0.0)
+    assert gate.admits()
+
+
+def test_an_event_of_the_channel_counts_once() -> None:
+    taken: list[Any] = []
+    channel = Channel(None, ("127.0.0.1", 1), Deadlines(), lambda: 0.0, taken.append)
+    events = tuple(Purge(number, 1, 0, 0.0) for number in (1, 2, 3))
+    channel.apply(Commands(2, events[:2]))
+    channel.apply(Commands(3, events[1:]))
+    assert taken == list(events) and channel.cursor == 3
+
+
+def test_what_may_have_run_is_known_to_the_next_try() -> None:
+    bench = Bench(may_bypass=True)
+    first = fetch_of(bench.ask(class_name="keyed", idempotency_key="k"))
+    bench.answer(first, api.Status.TIMEOUT)
+    bench.wait(2500.0)
+    assert finals(bench.ask(class_name="keyed", idempotency_key="k")) == [api.Fail(str(bench.asked))]
+    actions = bench.ask(class_name="keyed", idempotency_key="other")
+    while not finals(actions):
+        actions = bench.answer(fetch_of(actions), api.Status.SKIPPED)
+    assert not finals(bench.ask(class_name="keyed", idempotency_key="other"))
+
+
+CONFIG = {"name": "n1", "listen": "127.0.0.1:9", "channel": "127.0.0.1:8", "settings": SETTINGS} | {
+    "limits": {"sockets": 90},
+    "known": {"cursor": 0, "cmds": []},
+}
+
+
+def test_configuration_is_read_and_its_faults_are_named() -> None:
+    config = parse_config(json.dumps(CONFIG).encode(), {"PROXY_NAME": "n2"})
+    assert (config.name, config.listen, config.shelves.connections) == ("n2", ("127.0.0.1", 9), 30)
+    faults = {
+        "listen": "x",
+        "channel": "1.2.3.4:0",
+        "seed": "z",
+        "known": {"cmds": 3},
+        "limits": {"sockets": -1},
+    }
+    for key, value in faults.items():
+        with pytest.raises(ConfigError, match=key):
+            parse_config(json.dumps(CONFIG | {key: value}).encode(), {})
+
+
+EXTRAS = """[signed]
+listen = "{listen}"
+base = "https://c.example"
+issuers = ["R"]
+audience = "t"
+algorithms = ["HS256"]
+sign_with = "{kid}"
+keys = [{{kid = "a", algorithm = "HS256", file = "key.json"}}]
+[metrics]
+graphite = "127.0.0.1:2003"
+"""
+
+
+def test_extras_are_off_without_a_file_and_their_faults_are_named(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "extras.toml"
+    assert load_extras(path).signed is None
+    (tmp_path / "key.json").write_text('{"kty": "oct", "k": "c2VjcmV0c2VjcmV0c2VjcmV0c2VjcmV0c2VjcmV0"}')
+    path.write_text(EXTRAS.format(listen="127.0.0.1:1", kid="a"))
+    assert load_extras(path).signed is not None and sign([str(path), "/films/1/00000000000000ff/0"]) == 0
+    assert capsys.readouterr().out.startswith(
+        "https://c.example/films/1/00000000000000ff/0?URISigningPackage="
+    )
+    for listen, kid, key in (("10.0.0.1:1", "a", "listen"), ("127.0.0.1:1", "b", "sign_with")):
+        path.write_text(EXTRAS.format(listen=listen, kid=kid))
+        with pytest.raises(ConfigError, match=f"signed.{key}"):
+            load_extras(path)
