--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,188 @@
+"""The ends of attempts on real sockets, the metrics on the wire, and the program from start to drain."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from twisted.internet import protocol, reactor
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.trial.unittest import TestCase
+
+from tests.standins import Client, Rig
+from tests.test_core import CONFIG
+from tests.test_wire import asked, collectd_values
+from thornjunction import interface as api
+from thornjunction.core.counters import Counters
+from thornjunction.core.ports import Call, Order
+from thornjunction.net.alarm import core_ms
+from thornjunction.net.metrics import Metrics
+from thornjunction.net.transport import Building
+from thornjunction.net.wire import fastcgi
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class PoolTest(TestCase):
+    timeout = 20
+
+    def setUp(self) -> None:
+        self.rig = Rig()
+        self.addCleanup(self.rig.stop)
+        self.rig.pool.ends = self
+        self.told: list[Any] = []
+
+    def ended(self, number: int, status: api.Status, content: Any = None, report: Any = None) -> None:
+        self.told.append((number, status, content.body if content else None))
+
+    def send(self, number: int, name: str, **more: Any) -> None:
+        call = Call(name, "films", "00000000000000ff", 900.0, **more)
+        self.rig.pool.send(Order(number, call, api.Fetch("r", "edge1", 900.0, "origin")))
+
+    @inlineCallbacks
+    def test_each_word_has_its_end(self) -> Any:
+        words = [
+            (b"DONE", b"x"),
+            (b"LACK", b""),
+            (b"WAIT", b""),
+            (b"BROKE", b""),
+            (b"PAST", b""),
+            (b"KEEP", b""),
+        ]
+        ends = ["DONE", "MISS", "BUSY", "ERROR", "SKIPPED", "ERROR"]  # the client of the last one has no copy
+        for number, (word, end) in enumerate(zip(words, ends, strict=True)):
+            self.rig.script = [word]
+            self.send(number, f"t{number}")
+            yield self.rig.until(lambda number=number: len(self.told) > number)
+            self.assertEqual(self.told[number][:2], (number, api.Status[end]))
+
+    @inlineCallbacks
+    def test_a_broken_connection_may_have_run_and_a_refused_one_did_not(self) -> Any:
+        self.rig.script, wanted = [None], self.rig.next_want()
+        self.send(1, "a")
+        yield wanted
+        yield self.rig.ports[0].stopListening()
+        self.rig.links[0].transport.abortConnection()
+        yield self.rig.until(lambda: len(self.told) == 1)
+        self.send(2, "b")
+        yield self.rig.until(lambda: len(self.told) == 2)
+        self.assertEqual([status for _, status, _ in self.told], [api.Status.RESET, api.Status.REFUSED])
+
+    @inlineCallbacks
+    def test_a_late_answer_is_not_taken_for_the_next_attempt_of_its_name(self) -> Any:
+        self.rig.script, wanted = [None], self.rig.next_want()
+        self.send(1, "same")
+        yield wanted
+        self.rig.pool.give_up(1)
+        late, ident = self.rig.asked[0]
+        self.rig.script, wanted = [None], self.rig.next_want()
+        self.send(2, "same")
+        late.say(ident, b"DONE", b"late")
+        yield wanted
+        link, ident = self.rig.asked[1]
+        self.assertIsNot(link, late)
+        link.say(ident, b"DONE", b"right")
+        yield self.rig.until(lambda: self.told)
+        self.assertEqual(self.told, [(2, api.Status.DONE, b"right")])
+
+    @inlineCallbacks
+    def test_garbage_from_a_shelf_ends_its_connection(self) -> Any:
+        self.rig.script, wanted = [None], self.rig.next_want()
+        self.send(1, "a")
+        yield wanted
+        self.rig.links[0].transport.write(b"*9999\r\n")
+        yield self.rig.until(lambda: self.told)
+        self.assertEqual(self.told, [(1, api.Status.RESET, None)])
+
+
+class MetricsTest(TestCase):
+    timeout = 20
+
+    @inlineCallbacks
+    def test_figures_arrive_at_both(self) -> Any:
+        rig, lines, packets, counters = Rig(), Deferred(), Deferred(), Counters()
+        self.addCleanup(rig.stop)
+        counters.attempted(api.Status.DONE, 12.5)
+
+        class Graphite(Client):
+            def dataReceived(self, data: bytes) -> None:  # noqa: N802
+                lines.callback(data.decode())
+                self.transport.loseConnection()
+
+        class Collectd(protocol.DatagramProtocol):
+            def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+                packets.callback(datagram)
+
+        tcp = reactor.listenTCP(0, Building(Graphite), interface="127.0.0.1")
+        udp = reactor.listenUDP(0, Collectd(), interface="127.0.0.1")
+        metrics = Metrics(reactor, rig.alarm.deadlines, core_ms, lambda: 10.5, counters, "n1", 10.0)
+        metrics.to_graphite(("127.0.0.1", tcp.getHost().port), "tj")
+        metrics.to_collectd(("127.0.0.1", udp.getHost().port))
+        metrics.start()
+        yield rig.until(lambda: metrics._link is not None)
+        metrics._tick()
+        told = yield lines
+        self.assertIn("tj.n1.attempts.done.count 1 10\n", told)
+        self.assertIn("tj.n1.attempts.done.mean_ms 12.5 10\n", told)
+        packet = yield packets
+        self.assertEqual(collectd_values(packet), [1, 12.5, 12.5])
+        yield rig.until(lambda: metrics._link is None)
+        for port in (tcp, udp, metrics._udp):
+            yield port.stopListening()
+
+
+def test_the_program_serves_check_and_drains(tmp_path: Path) -> None:
+    with socket.socket() as free, socket.create_server(("127.0.0.1", 0)) as channel:
+        free.bind(("127.0.0.1", 0))
+        listen = address(free)
+        free.close()
+        config = CONFIG | {"listen": listen, "channel": address(channel)}
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config))
+        command = [sys.executable, "-m", "thornjunction"]
+        env = os.environ | {"PROXY_CONFIG": str(path)}
+        program = subprocess.Popen(command, env=env, cwd=ROOT, stderr=subprocess.PIPE)
+        try:
+            channel.accept()[0].close()  # it dials the channel just before it listens
+            client = connect(listen)
+            client.sendall(asked(1, {"SCRIPT_NAME": "/check"}, b""))
+            records, reader = [], fastcgi.RecordReader()
+            while not records or records[-1].kind != fastcgi.END:
+                records += reader.feed(client.recv(4096))
+            assert records[0].content == b"Status: 200\r\n\r\n"
+            program.send_signal(signal.SIGTERM)
+            assert client.recv(1) == b"" and program.wait(20) == 0
+            client.close()
+        finally:
+            program.kill()
+            program.communicate()
+
+
+def address(of: socket.socket) -> str:
+    return f"127.0.0.1:{of.getsockname()[1]}"
+
+
+def connect(address: str) -> socket.socket:
+    host, _, port = address.partition(":")
+    end = time.monotonic() + 30.0
+    while time.monotonic() < end:
+        try:
+            return socket.create_connection((host, int(port)), timeout=20)
+        except ConnectionRefusedError:
+            continue
+    raise AssertionError("never listened")
+
+
+def test_a_faulty_configuration_is_named_and_ends_with_two(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text("{}")
+    command, env = [sys.executable, "-m", "thornjunction"], os.environ | {"PROXY_CONFIG": str(path)}
+    ended = subprocess.run(command, env=env, cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert ended.returncode == 2 and "'limits' is missing" in ended.stderr
