--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,7 +11,7 @@
 from tests.helpers import Bench, fetch_of, finals
 from tests.test_adapter import PARAMS as SETTINGS
 from thornjunction import interface as api
-from thornjunction.core.admission import LEAST, Admission
+from thornjunction.core.admission import LEAST, MOST_OPEN, Admission
 from thornjunction.core.counters import Counters
 from thornjunction.core.engine import Engine
 from thornjunction.core.ports import Answer, Call, Content, Failed, Order, Refused, Served
@@ -133,13 +133,13 @@
 def test_admission_falls_with_lateness_and_recovers() -> None:
     gate = Admission(lambda: 0.5)
     gate.looked(1.0)
-    assert gate.admits()
+    assert gate.admits(0)
     for _ in range(50):
         gate.looked(100.0)
-    assert gate.share == LEAST and not gate.admits()
+    assert gate.share == LEAST and not gate.admits(0)
     for _ in range(100):
         gate.looked(0.0)
-    assert gate.admits()
+    assert gate.admits(0) and not gate.admits(MOST_OPEN)
 
 
 def test_an_event_of_the_channel_counts_once() -> None:
--- a/thornjunction/core/admission.py
+++ b/thornjunction/core/admission.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 
 TICK_MS, LATE_MS = 10.0, 20.0  # between looks at the loop; how late a look may come
+MOST_OPEN = 512  # requests at once: twice what a calm day holds open; past it answers only get later
 CUT, RAISE, LEAST = 0.9, 0.01, 0.1  # of the admitted share: for each late look and each timely one
 
 
 class Admission:
-    """Admits a share of new requests, by how late the event loop runs."""
+    """Admits a share of new requests, by how late the event loop runs and by how many are open."""
 
     def __init__(self, draw: Callable[[], float]) -> None:
         self.draw, self.share = draw, 1.0
@@ -25,5 +26,7 @@
         else:
             self.share = min(self.share + RAISE, 1.0)
 
-    def admits(self) -> bool:
+    def admits(self, open_now: int) -> bool:
+        if open_now >= MOST_OPEN:
+            return False
         return self.share >= 1.0 or self.draw() < self.share
--- a/thornjunction/net/shelves.py
+++ b/thornjunction/net/shelves.py
@@ -26,7 +26,7 @@
 from thornjunction.net.wire.resp import ArrayReader
 from thornjunction.settings import read_report
 
-PREFERRED, AT_MOST = 8, 10  # connections to one shelf: in use; with those under suspicion
+PREFERRED, AT_MOST = 4, 6  # connections to one shelf: in use; with those under suspicion
 IDLE_SHARE = 0.8  # of the platform's idle time: we close first, so that no request crosses a close
 WAITING = 256  # attempts that may wait for one dial
 
@@ -224,9 +224,9 @@
             return self._end(server, sent, api.Status.REFUSED)
         if sent.order is not None:
             self._where[sent.order.number] = (found, ident)
-        ready = [link for link in found.links if link.has_room(ident)]
-        if ready:
-            return min(ready, key=lambda link: len(link.out)).put(ident, sent, data)
+        for link in found.links:  # the first with room: full connections carry more for each read and write
+            if link.has_room(ident):
+                return link.put(ident, sent, data)
         if ident in found.waiting or len(found.waiting) >= WAITING or not self._may_dial(found):
             # Guards against blame: BUSY would count against the shelf's source, which this pool never asked.
             return self._end(server, sent, api.Status.SKIPPED)
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -78,7 +78,7 @@
 
     def busy(self) -> bytes:
         """What to answer where the core is to be spared; empty where it is not."""
-        return b"" if self.admission.admits() else self._refusal
+        return b"" if self.admission.admits(len(self.engine.requests)) else self._refusal
 
     def listen(self, host: str, port: int, build: Callable[[], ClientLink]) -> None:
         """Open a front; a port that can't be had ends the program with a message."""
