--- a/tests/standins.py
+++ b/tests/standins.py
@@ -108,7 +108,7 @@
         self.ports.append(self.listen(lambda: SignedLink(self.clients, deadlines, core_ms, self.door)))
         self.ports.append(
             self.listen(
-                lambda: FastCgiLink(self.clients, deadlines, core_ms, self.engine, lambda: True, bytes)
+                lambda: FastCgiLink(self.clients, deadlines, core_ms, self.engine, lambda: True, bytes, float)
             )
         )
         self.list_servers()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -136,6 +136,7 @@
     assert gate.admits(0)
     for _ in range(50):
         gate.looked(100.0)
+    assert gate.spent_ms() > 200.0
     assert gate.share == LEAST and not gate.admits(0)
     for _ in range(100):
         gate.looked(0.0)
--- a/thornjunction/core/admission.py
+++ b/thornjunction/core/admission.py
@@ -8,8 +8,9 @@
 
 from collections.abc import Callable
 
-TICK_MS, LATE_MS = 10.0, 20.0  # between looks at the loop; how late a look may come
+TICK_MS, LATE_MS = 5.0, 10.0  # between looks at the loop; how late a look may come
 MOST_OPEN = 512  # requests at once: twice what a calm day holds open; past it answers only get later
+WAYS_MS, FADE = 20.0, 0.98  # to the client and back; of the greatest lateness, kept from look to look
 CUT, RAISE, LEAST = 0.9, 0.01, 0.1  # of the admitted share: for each late look and each timely one
 
 
@@ -17,15 +18,21 @@
     """Admits a share of new requests, by how late the event loop runs and by how many are open."""
 
     def __init__(self, draw: Callable[[], float]) -> None:
-        self.draw, self.share = draw, 1.0
+        self.draw, self.share, self.late_ms = draw, 1.0, 0.0
 
     def looked(self, late_ms: float) -> None:
         """Late by several ticks counts as several late looks."""
+        self.late_ms = max(late_ms, self.late_ms * FADE)
         if late_ms > LATE_MS:
             self.share = max(self.share * CUT ** min(late_ms / LATE_MS, 4.0), LEAST)
         else:
             self.share = min(self.share + RAISE, 1.0)
 
+    def spent_ms(self) -> float:
+        """Time that a request may have used before it was read, and that its answer will use: the ways to the
+        client and back, and turns of the loop at both ends.  Guards against answers that come too late."""
+        return WAYS_MS + 2.0 * self.late_ms
+
     def admits(self, open_now: int) -> bool:
         if open_now >= MOST_OPEN:
             return False
--- a/thornjunction/net/front_fastcgi.py
+++ b/thornjunction/net/front_fastcgi.py
@@ -116,9 +116,10 @@
         core: Core,
         ready: Callable[[], bool],
         busy: Callable[[], bytes],
+        spent_ms: Callable[[], float],
     ) -> None:
         super().__init__(table, deadlines, clock)
-        self.core, self.ready, self.busy = core, ready, busy
+        self.core, self.ready, self.busy, self.spent_ms = core, ready, busy, spent_ms
         self.reader = fastcgi.RequestReader()
         self.pending: dict[int, Pending] = {}
 
@@ -165,7 +166,7 @@
         if busy:
             return self._write(ident, fastcgi.encode_answer(ident, busy), asked.keep)
         try:
-            call = platform.decode_call(asked.params, asked.body)
+            call = platform.decode_call(asked.params, asked.body, self.spent_ms())
         except ProtocolError:
             return self._write(ident, fastcgi.encode_answer(ident, platform.BAD_REQUEST), asked.keep)
         pending = self.pending[ident] = Pending(asked.keep)
--- a/thornjunction/net/wire/platform.py
+++ b/thornjunction/net/wire/platform.py
@@ -16,8 +16,8 @@
 MAX_PART, MAX_GROUP, MAX_TTL_MS = 1 << 20, 255, 600_000.0
 
 
-def decode_call(params: Mapping[str, str], body: bytes) -> Call:
-    """The call; ProtocolError for one that no client sends in this form."""
+def decode_call(params: Mapping[str, str], body: bytes, spent_ms: float = 0.0) -> Call:
+    """The call, with some of its time spent; ProtocolError for one that no client sends in this form."""
     script = params.get("SCRIPT_NAME", "")
     if not script.startswith(ROOT):
         raise ProtocolError("path")
@@ -25,7 +25,7 @@
         name=_match(HEX16, params, "HTTP_X_TXN"),
         class_name=_word(script[len(ROOT) :], "path"),
         object_id=_match(HEX16, params, "HTTP_X_ROW"),
-        left_ms=number(params.get("HTTP_X_TTL_MS", ""), MAX_TTL_MS, "ttl"),
+        left_ms=max(number(params.get("HTTP_X_TTL_MS", ""), MAX_TTL_MS, "ttl") - spent_ms, 1.0),
         part=int(number(params.get("HTTP_X_PART", "0"), MAX_PART, "part")),
         group=int(number(params.get("HTTP_X_GROUP", "0"), MAX_GROUP, "group")),
         size_kb=number(params.get("HTTP_X_WORKING_SET_KB", "0"), 1e9, "size"),
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -90,7 +90,8 @@
         self.reactor.stop()
 
     def _platform_link(self) -> FastCgiLink:
-        return FastCgiLink(self.clients, self.alarm.deadlines, core_ms, self.engine, self.is_ready, self.busy)
+        deadlines, spent = self.alarm.deadlines, self.admission.spent_ms
+        return FastCgiLink(self.clients, deadlines, core_ms, self.engine, self.is_ready, self.busy, spent)
 
     def _signed_link(self) -> SignedLink:
         assert self.door is not None
