--- a/thornjunction/core/admission.py
+++ b/thornjunction/core/admission.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 TICK_MS, LATE_MS = 5.0, 10.0  # between looks at the loop; how late a look may come
-MOST_OPEN = 512  # requests at once: twice what a calm day holds open; past it answers only get later
+MOST_OPEN = 384  # requests at once: half as many again as a calm day holds open; past it all get later
 WAYS_MS, FADE = 20.0, 0.98  # to the client and back; of the greatest lateness, kept from look to look
 CUT, RAISE, LEAST = 0.9, 0.01, 0.1  # of the admitted share: for each late look and each timely one
 
