--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -132,15 +132,17 @@
 
 def test_admission_falls_with_lateness_and_recovers() -> None:
     gate = Admission(lambda: 0.5)
-    gate.looked(1.0)
+    gate.looked(1.0, 0.5)
     assert gate.admits(0)
     for _ in range(50):
-        gate.looked(100.0)
+        gate.looked(100.0, 0.5)
     assert gate.spent_ms() > 200.0
     assert gate.share == LEAST and not gate.admits(0)
     for _ in range(100):
-        gate.looked(0.0)
+        gate.looked(0.0, 0.5)
     assert gate.admits(0) and not gate.admits(MOST_OPEN)
+    gate.looked(0.0, 0.99)
+    assert gate.share < 1.0
 
 
 def test_an_event_of_the_channel_counts_once() -> None:
--- a/thornjunction/core/admission.py
+++ b/thornjunction/core/admission.py
@@ -8,10 +8,11 @@
 
 from collections.abc import Callable
 
-TICK_MS, LATE_MS = 5.0, 10.0  # between looks at the loop; how late a look may come
+TICK_MS, LATE_MS = 20.0, 20.0  # between looks at the loop; how late a look may come
+FULL = 0.85  # share of the core in use past which fewer are admitted: queues grow without end near 1
 MOST_OPEN = 384  # requests at once: half as many again as a calm day holds open; past it all get later
 WAYS_MS, FADE = 20.0, 0.98  # to the client and back; of the greatest lateness, kept from look to look
-CUT, RAISE, LEAST = 0.9, 0.01, 0.1  # of the admitted share: for each late look and each timely one
+CUT, EASE, RAISE, LEAST = 0.9, 0.97, 0.01, 0.1  # of the admitted share: late, full, neither
 
 
 class Admission:
@@ -20,11 +21,13 @@
     def __init__(self, draw: Callable[[], float]) -> None:
         self.draw, self.share, self.late_ms = draw, 1.0, 0.0
 
-    def looked(self, late_ms: float) -> None:
-        """Late by several ticks counts as several late looks."""
+    def looked(self, late_ms: float, used: float) -> None:
+        """``used``: share of the core since the last look.  Very late counts as several late looks."""
         self.late_ms = max(late_ms, self.late_ms * FADE)
         if late_ms > LATE_MS:
             self.share = max(self.share * CUT ** min(late_ms / LATE_MS, 4.0), LEAST)
+        elif used > FULL:
+            self.share = max(self.share * EASE, LEAST)
         else:
             self.share = min(self.share + RAISE, 1.0)
 
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -71,10 +71,11 @@
         if self.metrics is not None:
             self.metrics.start()
 
-    def _watch(self, due: float) -> None:
-        now = core_ms()
-        self.admission.looked(now - due)
-        self.alarm.deadlines.add(now + TICK_MS, lambda: self._watch(now + TICK_MS))
+    def _watch(self, due: float, since: float = 0.0, used_s: float = 0.0) -> None:
+        now, busy_s = core_ms(), time.process_time()
+        wall_s = (now - since) / 1000.0
+        self.admission.looked(now - due, (busy_s - used_s) / wall_s if since else 0.0)
+        self.alarm.deadlines.add(now + TICK_MS, lambda: self._watch(now + TICK_MS, now, busy_s))
 
     def busy(self) -> bytes:
         """What to answer where the core is to be spared; empty where it is not."""
