Read the configuration again on SIGHUP and move the command channel to its address

Service.run set handlers for SIGTERM and SIGINT only, so SIGHUP kept its default, which ends the process.

Change: SIGHUP reads the file; the channel goes on at its `channel` from the number of the last event, by the way a broken channel connection is replaced (the end of the old one starts the new one). A faulty file, down to JSON nested too deep and lists of the wrong things, is named in the log and changes nothing; other changed keys are logged as needing a restart. The test ends on SIGHUP without the change.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -138,25 +138,41 @@
             yield port.stopListening()
 
 
-def test_the_program_serves_check_and_drains(tmp_path: Path) -> None:
-    with socket.socket() as free, socket.create_server(("127.0.0.1", 0)) as channel:
+def test_the_program_serves_check_reloads_and_drains(tmp_path: Path) -> None:
+    with (
+        socket.socket() as free,
+        socket.create_server(("127.0.0.1", 0)) as channel,
+        socket.create_server(("127.0.0.1", 0)) as moved,
+    ):
         free.bind(("127.0.0.1", 0))
         listen = address(free)
         free.close()
-        config = CONFIG | {"listen": listen, "channel": address(channel)}
+        config = CONFIG | {"listen": listen, "channel": address(channel), "known": {"cursor": 3, "cmds": []}}
         path = tmp_path / "config.json"
         path.write_text(json.dumps(config))
         command = [sys.executable, "-m", "thornjunction"]
         env = os.environ | {"PROXY_CONFIG": str(path)}
         program = subprocess.Popen(command, env=env, cwd=ROOT, stderr=subprocess.PIPE)
         try:
-            channel.accept()[0].close()  # it dials the channel just before it listens
+            told = channel.accept()[0]  # it dials the channel just before it listens
+            assert told.recv(25) == b"GET /cmd/next?resume=3&bl"
             client = connect(listen)
             client.sendall(asked(1, {"SCRIPT_NAME": "/check"}, b""))
             records, reader = [], fastcgi.RecordReader()
             while not records or records[-1].kind != fastcgi.END:
                 records += reader.feed(client.recv(4096))
             assert records[0].content == b"Status: 200\r\n\r\n"
+            path.write_text("{")
+            program.send_signal(signal.SIGHUP)
+            assert program.stderr is not None
+            while b"reload refused" not in (line := program.stderr.readline()):
+                assert line, "ended on SIGHUP"
+            assert str(path).encode() in line
+            moved.settimeout(20)
+            path.write_text(json.dumps(config | {"channel": address(moved)}))
+            program.send_signal(signal.SIGHUP)
+            assert moved.accept()[0].recv(25) == b"GET /cmd/next?resume=3&bl"
+            told.close()
             program.send_signal(signal.SIGTERM)
             assert client.recv(1) == b"" and program.wait(20) == 0
             client.close()
--- a/thornjunction/__main__.py
+++ b/thornjunction/__main__.py
@@ -30,7 +30,7 @@
 
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    Service(config, extras, reactor, Counters()).run()
+    Service(config, extras, reactor, Counters(), lambda: load_config(os.environ)).run()
     return 0
 
 
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from twisted.internet import protocol
+from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
 from thornjunction.memory.deadlines import Deadline, Deadlines
@@ -31,6 +32,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
+        self.channel.link = self
         self.poll()
 
     def poll(self) -> None:
@@ -66,6 +68,7 @@
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         self.channel.deadlines.cancel(self.timer)
         log_end("channel", None, self.code or code_of(reason), polls=self.polls)
+        self.channel.link = None
         self.channel.lost(useful=self.polls > 0)
 
 
@@ -83,6 +86,8 @@
         self.reactor, self.address, self.deadlines, self.clock = reactor, address, deadlines, clock
         self.take, self.cursor, self.host = take, 0, f"{address[0]}:{address[1]}"
         self.stopped = False
+        self.link: ChannelLink | None = None
+        self._dialling: Deferred[Any] | None = None
 
     def apply(self, commands: Commands) -> None:
         """Take in what is new; an event that has come before is passed over."""
@@ -99,11 +104,27 @@
         until = self.clock() + DIAL_MS
         connecting = dial(self.reactor, self.address, lambda: ChannelLink(self), self.deadlines, until)
 
+        def up(_: object) -> None:
+            self._dialling = None
+
         def failed(_: Failure) -> None:
+            self._dialling = None
             log_end("channel", None, "dial-failed")
             self.lost(useful=False)
 
-        connecting.addErrback(failed)
+        self._dialling = connecting
+        connecting.addCallbacks(up, failed)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address.  The number of the last event stays; what the old connection had begun to
+        tell comes again from there.  The end of that connection, or of that dial, starts the new one."""
+        if address == self.address:
+            return
+        self.address, self.host = address, f"{address[0]}:{address[1]}"
+        if self.link is not None:
+            self.link.close("moved")
+        elif self._dialling is not None:
+            self._dialling.cancel()
 
     def lost(self, useful: bool) -> None:
         """At once after a connection that worked; else after a moment, so that a dead end costs no core."""
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -47,10 +47,11 @@
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
     try:
-        text = Path(path).read_bytes()
+        return parse_config(Path(path).read_bytes(), environ)
     except OSError as error:
-        raise ConfigError(f"PROXY_CONFIG: {error.strerror}") from error
-    return parse_config(text, environ)
+        raise ConfigError(f"PROXY_CONFIG: {path}: {error.strerror}") from error
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from error
 
 
 def parse_config(text: bytes, environ: Mapping[str, str]) -> Config:
@@ -64,7 +65,7 @@
 def _read(top: Params, environ: Mapping[str, str]) -> Config:
     limits, params = top.below("limits"), top.below("settings")
     sockets = int(limits.number("sockets", 1024))
-    settings = read_settings(params)
+    settings = _settings(params)
     allowed = params.below("allowed")
     return Config(
         name=environ.get("PROXY_NAME") or top.get("name", str),
@@ -85,6 +86,14 @@
     )
 
 
+def _settings(params: Params) -> api.Settings:
+    try:
+        return read_settings(params)
+    except (TypeError, ValueError, OverflowError) as error:
+        # Guards a running program against a list of the wrong things in a file that a reload brings.
+        raise ConfigError(f"settings: an impossible value: {error}") from error
+
+
 def _address(key: str, text: str) -> tuple[str, int]:
     try:
         return parse_address(text)
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -25,10 +25,11 @@
 from thornjunction.net.wire import platform
 from thornjunction.net.wire.commands import Command, Host, ListChange
 from thornjunction.rules import Router
-from thornjunction.runtime.config import Config, Extras, MetricsTargets, SignedFront
+from thornjunction.runtime.config import Config, ConfigError, Extras, MetricsTargets, SignedFront
 from thornjunction.signing.tokens import Nonces
 
 ACCEPT_MS = 800.0  # after SIGTERM: new connections come for 400 ms, requests on open ones for 200 ms more
+LASTING = "name", "listen", "sockets", "settings", "roles", "shelves"  # what a reload doesn't change
 LOOK_MS, FLUSH_MS = 20.0, 500.0  # between looks whether all is answered; for the last bytes to go out
 
 log = logging.getLogger(__name__)
@@ -37,8 +38,10 @@
 class Service:
     """One request router from its start to its exit."""
 
-    def __init__(self, config: Config, extras: Extras, reactor: Any, counters: Counters) -> None:
-        self.config, self.reactor = config, reactor
+    def __init__(
+        self, config: Config, extras: Extras, reactor: Any, counters: Counters, load: Callable[[], Config]
+    ) -> None:
+        self.config, self.reactor, self.load = config, reactor, load
         self.alarm = Alarm(reactor)
         deadlines = self.alarm.deadlines
         self.pool = ShelfPool(reactor, config.shelves, deadlines, core_ms)
@@ -135,6 +138,17 @@
             started_ms=unix_to_core(host.born_ms) if host.born_ms > 0 else 0.0,
         )
 
+    def reload(self) -> None:
+        """SIGHUP: go on at the file's ``channel``.  All else in it needs a restart; a faulty file changes
+        nothing."""
+        try:
+            fresh = self.load()
+        except ConfigError as error:
+            return log.error("reload refused, nothing changed: %s", error)
+        told = [name for name in LASTING if getattr(fresh, name) != getattr(self.config, name)]
+        log.info("reloaded channel=%s:%d need-restart=%s", *fresh.channel, ",".join(told) or "none")
+        self.channel.move(fresh.channel)
+
     def drain(self) -> None:
         """SIGTERM: accept through the stated window, answer all that was taken, then exit 0."""
         if self.draining:
@@ -171,5 +185,6 @@
         """Until the drain ends."""
         signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.drain))
         signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.drain))
+        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
         self.reactor.callWhenRunning(self.start)
         self.reactor.run(installSignalHandlers=False)
--- a/thornjunction/settings.py
+++ b/thornjunction/settings.py
@@ -77,7 +77,7 @@
     """The settings' text as JSON."""
     try:
         return json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise WireError(f"settings are not JSON: {error}") from error
 
 
