Blame a shelf for an error only once another serves; count a broken connection once

Seen on rude+garble+fleet: a trace of failed attempts showed bad clients' requests (objects no shelf knows) answered BROKE in 0 ms, and each sent six times within that millisecond to one healthy shelf, which was then ejected (bad=5) for 500 ms and more. Likewise one connection that a spoilt answer ended counted as up to 21 failures in a row.

Ruled out: the front's admission (no refusal came from it in the trace) and the core's time (0.2 of 0.85 cores).

Lines at fault: Router.learn gave every ERROR and every RESET to Server.record; Router.on_outcome resent an ERROR to the same cache until attempts ran out.

Change: an error counts against who gave it once another cache serves the request; after the second error of one cache another is asked, after three errors the request is given up. Resets within 10 ms count once.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -288,10 +288,32 @@
     bench = Bench(max_attempts=8)
     fetch = fetch_of(bench.ask())
     for _ in range(5):
+        bench.wait(20.0)
         last, fetch = fetch, fetch_of(bench.answer(fetch, api.Status.RESET))
     assert fetch.server != last.server
 
 
+def test_one_connection_that_breaks_is_one_failure() -> None:
+    """All that was out on it ends at once, which says little of a cache that goes on answering."""
+    bench = Bench(entries=(EDGES[0], ORIGIN))
+    fetches = [fetch_of(bench.ask(key)) for key in range(12)]
+    for fetch in fetches:
+        assert only(bench.answer(fetch, api.Status.RESET), api.Fetch)
+    server = bench.router.servers["edge0"]
+    assert server.ejected_for == 0 and server.bad == 1
+
+
+def test_requests_that_no_cache_can_use_eject_none_and_end_soon() -> None:
+    bench = Bench()
+    for key in range(12):
+        actions = bench.ask(key)
+        while not finals(actions):
+            actions = bench.answer(fetch_of(actions), api.Status.ERROR)
+        assert len({fetch.server for fetch in bench.sent[str(bench.asked)]}) == 2
+        assert len(bench.sent[str(bench.asked)]) == 3
+    assert not any(server.bad or server.ejected_for for server in bench.router.servers.values())
+
+
 def test_a_failing_origin_leaves_parents_to_give_what_they_hold() -> None:
     """Asked on, it stays jammed after its trouble has passed; what parents hold must not wait for that."""
     bench = Bench()
--- a/thornjunction/rules.py
+++ b/thornjunction/rules.py
@@ -26,6 +26,7 @@
 MARGIN = 6.0  # ms before the client's limit at which we answer: a few of a caller's ticks
 RETRY_SHARE, RETRY_DEPTH = 0.5, 20.0  # further attempts for each request, and how many may be saved up
 EJECT_AFTER, EJECT_FIRST, EJECT_LAST = 5, 500.0, 4_000.0  # bad outcomes in a row; ms out
+ERRORS, ONE_RESET = 3, 10.0  # errors after which the request is at fault; ms in which resets are one
 SILENT, SILENT_OUT = 500.0, 2  # ms past the sending time without any answer, with so many attempts out
 GATE_CUT, GATE_RAISE, GATE_LEAST = 0.85, 0.04, 0.05  # a fifth late leaves it open, a half late one third
 CHOICES = 2  # caches by hash that a new request may go to: hot objects get a second copy (paper, section 3)
@@ -99,6 +100,7 @@
         self.cold_since = entry.started_ms if entry.started_ms > 0 else -math.inf
         self.bad, self.first_byte, self.gate = 0, Mean(FAST_GAIN), Gate()
         self.tokens, self.tokens_at, self.ejected_until = math.inf, now, -math.inf
+        self.reset_at = -math.inf
 
     def eject(self, now: float) -> None:
         self.ejected_for = min(max(EJECT_FIRST, 2 * self.ejected_for), EJECT_LAST)
@@ -115,6 +117,12 @@
         elif not ok and now >= self.ejected_until and (self.ejected_for or self.bad >= EJECT_AFTER):
             self.eject(now)
 
+    def reset(self, now: float) -> None:
+        """A connection that breaks takes all that is out on it along: one failure, however many were."""
+        if now - self.reset_at > ONE_RESET:
+            self.record(False, now)
+        self.reset_at = now
+
     def open_to(self, now: float) -> bool:
         """In service, or out and due for one trial."""
         return not self.ejected_for or (now >= self.ejected_until and not self.out)
@@ -142,6 +150,7 @@
         self.out: Attempt | None = None
         self.maybe: Attempt | None = None  # the first attempt that may have run
         self.tried: set[str] = set()  # caches and sources that did not serve it
+        self.faults: list[Server] = []  # who answered it with an error
 
 
 class Router:
@@ -260,9 +269,10 @@
         at_source, lost = event.note in BROKEN, event.status in (api.Status.RESET, api.Status.ERROR)
         if attempt.source is not None and (at_source or not lost or self.settings.notes is api.Notes.NONE):
             job.tried.add(attempt.source.id)
-        if not at_source and (not lost or attempt.server.ejected_for):
+        if not at_source and (not lost or attempt.server.ejected_for or attempt.server in job.faults[:-1]):
             job.tried.add(attempt.server.id)
-        self.dispatch(job)
+        # Guards against one bad request that spends all its attempts: what nobody can use is at fault itself.
+        self.give_up(job) if len(job.faults) >= ERRORS else self.dispatch(job)
 
     def tick(self) -> None:
         self.actions.append(api.SetTimer(TICK, 0))
@@ -453,8 +463,14 @@
         blind = self.settings.notes is api.Notes.NONE
         at_source = event.note in BROKEN or (blind and status is api.Status.BUSY)
         refused = status is api.Status.REFUSED or (server.down and status is api.Status.TIMEOUT)
-        if status is not api.Status.BUSY:  # full is not ill: it only sends this request on
+        if status is api.Status.ERROR and not at_source:
+            job.faults.append(server)
+        elif status is api.Status.RESET and not at_source:
+            server.reset(self.now)
+        elif status is not api.Status.BUSY:  # full is not ill: it only sends this request on
             server.record(status in (api.Status.DONE, api.Status.MISS) or at_source, self.now, refused)
+        if status is api.Status.DONE:  # so the request was good, and who answered with an error was not
+            self.blame(job, server)
         server.down = refused
         server.heard = server.heard if refused or status is api.Status.TIMEOUT else self.now
         good = status is api.Status.DONE
@@ -474,6 +490,13 @@
         if job.copy in self.counts:
             self.counts[job.copy] = (*self.counts[job.copy][:2], wait)
 
+    def blame(self, job: Job, served: Server) -> None:
+        """Guards against clients whose requests no cache can use: those errors say nothing of a cache."""
+        for server in job.faults:
+            if server is not served:
+                server.record(False, self.now)
+        job.faults.clear()
+
     def judge(self, attempt: Attempt, took: float, note: api.Note, done: bool) -> None:
         """In time or late, once for each attempt: late as soon as its aim has passed."""
         late = took > attempt.job.aim
