Spread streams over a shelf's connections and close one whose answer stays in part

A trace of what was dropped showed that nearly none waited for a lost answer; one connection carried 30 requests and the next one 5, and each spoilt answer ended all of them. A module whose retries (20 saved up) run out then refuses the rest.

Lines at fault: ShelfPool._send took the first connection with room; ShelfLink.dataReceived took any byte for a sign of life, and so cleared `suspect` even on a connection that the list had retired; `dropped` grew with each request given up as long as anything else was out.

Change: the least used connection gets the next attempt, and another is opened beside it, up to four, where it has more than two out. Whole answers alone are the sign of life, a part that stays for 500 ms ends its connection, and 256 idents given up wear a connection out.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,6 +11,7 @@
 import time
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 from twisted.internet import protocol, reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
@@ -22,6 +23,7 @@
 from thornjunction import interface as api
 from thornjunction.core.counters import Counters
 from thornjunction.core.ports import Call, Order
+from thornjunction.net import shelves
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.metrics import Metrics
 from thornjunction.net.transport import Building
@@ -101,6 +103,47 @@
         yield self.rig.until(lambda: self.told)
         self.assertEqual(self.told, [(1, api.Status.RESET, None)])
 
+    @inlineCallbacks
+    def test_a_length_that_swallows_the_answers_behind_it_ends_the_connection(self) -> Any:
+        """Bytes that never make an answer are no sign of life; what was out there may have run."""
+        self.rig.script = [None, None]
+        for number, name in enumerate("ab"):
+            self.send(number, name)
+        yield self.rig.until(lambda: len(self.rig.asked) == 2)
+        link, _ = self.rig.asked[0]
+        link.transport.write(b"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$99999\r\n")
+        link.say(b"b", b"DONE", b"swallowed")
+        yield self.rig.until(lambda: any(way.part for way in self.rig.pool.links))
+        with patch.object(self.rig.pool, "clock", lambda: core_ms() + 500.0):
+            self.assertEqual(self.told, [])
+            self.rig.alarm.deadlines.run_due(core_ms() + 500.0)
+        yield self.rig.until(lambda: len(self.told) == 2)
+        self.assertEqual({end[1:] for end in self.told}, {(api.Status.RESET, None)})
+
+    @inlineCallbacks
+    def test_connections_share_what_is_out(self) -> Any:
+        """A spoilt answer ends its connection, so not all may be out on one."""
+        self.rig.script = [None] * 8
+        for number in range(8):
+            self.send(number, f"t{number}")
+            yield self.rig.until(lambda number=number: len(self.rig.asked) == number + 1)
+            yield self.rig.until(lambda: self.rig.pool.shelves["edge1"].dial is None)
+        self.assertEqual(sorted(len(way.out) for way in self.rig.pool.links), [2, 3, 3])
+
+    @inlineCallbacks
+    def test_a_connection_gets_worn_by_what_is_given_up_on_it(self) -> Any:
+        """The idents of what was given up are kept, for its late answers; so many, and no more."""
+        for number in range(shelves.WORN + 1):
+            self.rig.script = [None]
+            self.send(number, f"t{number}")
+            yield self.rig.until(lambda number=number: len(self.rig.asked) == number + 1)
+            if number:
+                self.rig.pool.give_up(number)
+        self.rig.script = [(b"DONE", b"x")]
+        self.send(9999, "next")
+        yield self.rig.until(lambda: self.told)
+        self.assertIsNot(self.rig.asked[-1][0], self.rig.asked[0][0])
+
 
 class MetricsTest(TestCase):
     timeout = 20
--- a/thornjunction/net/shelves.py
+++ b/thornjunction/net/shelves.py
@@ -27,6 +27,9 @@
 from thornjunction.settings import read_report
 
 PREFERRED, AT_MOST = 4, 6  # connections to one shelf: in use; with those under suspicion
+CROWDED = 2  # out on the least used connection, past which another is opened beside it
+WORN = 256  # idents given up on a connection, past which it gets no more
+PART_MS = 500.0  # for the rest of an answer that has begun; the largest takes 65 ms on the slowest link
 IDLE_SHARE = 0.8  # of the platform's idle time: we close first, so that no request crosses a close
 WAITING = 256  # attempts that may wait for one dial
 
@@ -85,27 +88,42 @@
         self.out: dict[str, Sent] = {}
         self.dropped: set[str] = set()  # a late answer to one of these must not pass for a new attempt's
         self.heard, self.suspect, self.code = pool.clock(), False, ""
+        self.retired = False  # by the list: stays under suspicion
         self.idle: Deadline | None = None
+        self.part: Deadline | None = None  # while an answer has come in part
         self.served = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self.heard, self.suspect = self.pool.clock(), False
         try:
             for items in self.reader.feed(data):
+                self._whole()
                 self._answer(shelf.decode_answer(items))
         except ProtocolError as error:
-            self.close(str(error))
+            return self.close(str(error))
+        if self.part is None and self.reader.partial and not self.code:
+            # Guards against a false length that swallows the answers behind it, and one that stops short.
+            when = self.pool.clock() + PART_MS
+            self.part = self.pool.deadlines.add(when, lambda: self.close("part-answer"))
+
+    def _whole(self) -> None:
+        """Only a whole answer is a sign of life."""
+        self.heard, self.suspect = self.pool.clock(), self.retired
+        self.pool.deadlines.cancel(self.part)
+        self.part = None
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         self.pool.lost(self, self.code or code_of(reason))
 
     def has_room(self, ident: str) -> bool:
-        taken = ident in self.out or ident in self.dropped
+        taken = ident in self.out or ident in self.dropped or len(self.dropped) >= WORN
         return not (self.suspect or self.code or taken) and len(self.out) < self.pool.limits.max_streams
 
+    def load(self) -> int:
+        return len(self.out)
+
     def put(self, ident: str, sent: Sent, data: bytes) -> None:
         self.pool.deadlines.cancel(self.idle)
         self.idle = None
@@ -224,9 +242,13 @@
             return self._end(server, sent, api.Status.REFUSED)
         if sent.order is not None:
             self._where[sent.order.number] = (found, ident)
-        for link in found.links:  # the first with room: full connections carry more for each read and write
-            if link.has_room(ident):
-                return link.put(ident, sent, data)
+        # The least used: a spoilt answer ends all that is out on its connection.
+        link = min((way for way in found.links if way.has_room(ident)), key=ShelfLink.load, default=None)
+        if link is not None:
+            link.put(ident, sent, data)
+            if link.load() > CROWDED and found.dial is None and self._may_dial(found):
+                self._dial(found)
+            return
         if ident in found.waiting or len(found.waiting) >= WAITING or not self._may_dial(found):
             # Guards against blame: BUSY would count against the shelf's source, which this pool never asked.
             return self._end(server, sent, api.Status.SKIPPED)
@@ -289,12 +311,13 @@
         if found.dial is not None:
             found.dial.cancel()
         for link in list(found.links):
-            link.suspect = True
+            link.suspect = link.retired = True
             link.rest()
 
     def lost(self, link: ShelfLink, code: str) -> None:
         """A connection ended: what was out on it may have run."""
         self.deadlines.cancel(link.idle)
+        self.deadlines.cancel(link.part)
         link.code = link.code or code
         if link.slot is not None:
             self.links.remove(link.slot)
--- a/thornjunction/net/wire/resp.py
+++ b/thornjunction/net/wire/resp.py
@@ -28,6 +28,11 @@
                 self._items = []
         return arrays
 
+    @property
+    def partial(self) -> bool:
+        """Whether an array has begun and not come whole."""
+        return self._left > 0 or bool(self._buffer)
+
     def _step(self) -> bool:
         """Read one line or bulk; False if it has not come whole."""
         if self._left == 0:
