Refuse for a late loop only where the core is in use; measure use by the share given

A trace of Admission showed one late look at each start, 135 to 158 ms late with 0 to 1% of the core used: it cut the admitted share to 0.66, which took 0.7 s to recover.

Ruled out: the module (no give-up before 10 s) and the number of open requests.

Lines at fault: Admission.looked cut for lateness alone; and it took `used` for a share of a whole core, where the platform gives 0.85, so FULL was never met.

--- a/thornjunction/core/admission.py
+++ b/thornjunction/core/admission.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 
 TICK_MS, LATE_MS = 20.0, 20.0  # between looks at the loop; how late a look may come
-FULL = 0.85  # share of the core in use past which fewer are admitted: queues grow without end near 1
+FULL = 0.85  # of what the core gives us, in use: past it fewer are admitted; queues grow without end near 1
+BUSY = 0.5  # in use, at the least, where a late look is our own work's doing
 MOST_OPEN = 384  # requests at once: half as many again as a calm day holds open; past it all get later
 WAYS_MS, FADE = 20.0, 0.98  # to the client and back; of the greatest lateness, kept from look to look
 CUT, EASE, RAISE, LEAST = 0.9, 0.97, 0.01, 0.1  # of the admitted share: late, full, neither
@@ -18,13 +19,14 @@
 class Admission:
     """Admits a share of new requests, by how late the event loop runs and by how many are open."""
 
-    def __init__(self, draw: Callable[[], float]) -> None:
-        self.draw, self.share, self.late_ms = draw, 1.0, 0.0
+    def __init__(self, draw: Callable[[], float], cores: float = 1.0) -> None:
+        self.draw, self.cores, self.share, self.late_ms = draw, cores, 1.0, 0.0
 
     def looked(self, late_ms: float, used: float) -> None:
-        """``used``: share of the core since the last look.  Very late counts as several late looks."""
-        self.late_ms = max(late_ms, self.late_ms * FADE)
-        if late_ms > LATE_MS:
+        """``used``: share of a core since the last look.  Very late counts as several late looks; late with
+        next to nothing used means that the process was kept from running, which no refusal mends."""
+        self.late_ms, used = max(late_ms, self.late_ms * FADE), used / self.cores
+        if late_ms > LATE_MS and used > BUSY:
             self.share = max(self.share * CUT ** min(late_ms / LATE_MS, 4.0), LEAST)
         elif used > FULL:
             self.share = max(self.share * EASE, LEAST)
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -32,6 +32,7 @@
     name: str
     listen: tuple[str, int]
     seed: int
+    cores: float
     sockets: int
     channel: tuple[str, int]
     known: Commands
@@ -71,6 +72,7 @@
         name=environ.get("PROXY_NAME") or top.get("name", str),
         listen=_address("listen", environ.get("PROXY_LISTEN") or top.get("listen", str)),
         seed=_seed(top.get("seed", str, "0")),
+        cores=min(max(limits.number("cores", 1.0), 0.05), 1.0),
         sockets=sockets,
         channel=_address("channel", top.get("channel", str)),
         known=_known(top.get("known", dict)),
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -52,7 +52,7 @@
         self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take)
         self.clients: SlotTable[ClientLink] = SlotTable(max(config.sockets // 3, 1))
         self.ready = self.draining = False
-        self.admission = Admission(random.Random(config.seed).random)
+        self.admission = Admission(random.Random(config.seed).random, config.cores)
         wait_ms = config.settings.max_wait_advice_ms if config.settings.may_advise_wait else 0.0
         self._refusal = platform.encode_cgi(Refused(wait_ms))
         self.door = self._door(extras.signed) if extras.signed else None
