Give newcomers the longest idle connection's place; end half requests in 2 s; one buffer budget

Lines at fault: ClientLink.connectionMade closed the newcomer; IDLE_MS was the only limit for a connection that says nothing or half a request (owed: 3 s); each of 85 connections could hold 32 requests of 80 KB, 218 MB in all, and the answers of a client that doesn't read; the stall timer began anew with each write, so that a client that kept asking was never cut off.

Change: ClientTable closes the longest idle connection for a newcomer, never one with an open request; 2 s for the first whole request and for the rest of a begun one; 16 requests in a row that can't be used end their connection; one budget, a fifth of memory_mb, for parts of messages (clients and shelfs) and answers not read. Code shared by the fronts is in net/client_link.py, its tests run for both.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -15,9 +15,10 @@
 from thornjunction import interface as api
 from thornjunction.core.counters import Counters
 from thornjunction.core.engine import Engine
-from thornjunction.memory.slots import SlotTable
+from thornjunction.memory.budget import Budget
 from thornjunction.net.alarm import Alarm, core_ms
-from thornjunction.net.front_fastcgi import ClientLink, FastCgiLink
+from thornjunction.net.client_link import ClientTable
+from thornjunction.net.front_fastcgi import FastCgiLink
 from thornjunction.net.front_signed import Door, SignedLink
 from thornjunction.net.shelves import Limits, ShelfPool
 from thornjunction.net.transport import Building
@@ -94,14 +95,15 @@
         self.waiters: list[Deferred[None]] = []
         self.alarm = Alarm(reactor)
         limits = Limits(max_streams=4, dial_ms=400.0, idle_ms=15_000.0, connections=20)
-        self.pool = ShelfPool(reactor, limits, self.alarm.deadlines, core_ms)
+        budget = Budget(1_000_000)
+        self.pool = ShelfPool(reactor, limits, self.alarm.deadlines, core_ms, budget)
         settings = replace(SETTINGS, may_bypass=True, may_advise_wait=True, max_wait_advice_ms=500.0)
         self.counters = Counters()
         router = Router(settings, 7)
         deadlines = self.alarm.deadlines
         self.engine = Engine(router, settings.max_attempts, core_ms, deadlines, self.pool, self.counters)
         self.pool.ends = self.engine
-        self.clients: SlotTable[ClientLink] = SlotTable(10)
+        self.clients = ClientTable(10, budget)
         classes = {kind.name: kind for kind in (FILMS, KEYED)}
         self.door = Door(self.engine, classes, BASE, TRUST, tokens.Nonces(), lambda: self.now)
         self.ports = [self.listen(lambda: ShelfStandIn(self)) for _ in range(2)]
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,147 @@
+"""What clients' connections may cost, with a fake clock and transport; the same for both fronts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from twisted.internet.testing import StringTransport
+
+from tests.standins import BASE, CLIP, TRUST
+from tests.test_wire import PARAMS, asked
+from thornjunction import interface as api
+from thornjunction.core.ports import Call, Content, Refused, Reply, Served
+from thornjunction.memory.budget import Budget
+from thornjunction.memory.deadlines import Deadlines
+from thornjunction.net.client_link import ClientLink, ClientTable
+from thornjunction.net.front_fastcgi import MISUSES, FastCgiLink
+from thornjunction.net.front_signed import Door, SignedLink
+from thornjunction.signing import tokens
+
+FILMS = api.RequestClass("films", 500.0, 5000.0, api.Safety.SAFE)
+
+
+class Transport(StringTransport):
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        pass
+
+
+class Hall:
+    """A table of connections, their clock, and a core that answers when told."""
+
+    def __init__(self, capacity: int = 3, limit: int = 1_000_000) -> None:
+        self.now, self.deadlines, self.replies = 1000.0, Deadlines(), []  # type: ignore[var-annotated]
+        self.table = ClientTable(capacity, Budget(limit))
+        self.door = Door(self, {"films": FILMS}, BASE, TRUST, tokens.Nonces(), lambda: 5.0)
+
+    def open(self, call: Call, reply: Reply) -> int:
+        self.replies.append(reply)
+        return len(self.replies)
+
+    def abandon(self, number: int) -> None:
+        pass
+
+    def connect(self, kind: str) -> ClientLink:
+        link: ClientLink
+        if kind == "fastcgi":
+            link = FastCgiLink(
+                self.table, self.deadlines, lambda: self.now, self, lambda: True, bytes, lambda: 0.0
+            )
+        else:
+            link = SignedLink(self.table, self.deadlines, lambda: self.now, self.door)
+        link.makeConnection(Transport())
+        return link
+
+    def wait(self, ms: float) -> None:
+        end = self.now + ms
+        while (due := self.deadlines.next_due()) <= end:
+            self.now = max(due, self.now)
+            self.deadlines.run_due(self.now)
+        self.now = end
+
+
+def http_request() -> bytes:
+    token = tokens.issue(TRUST, "hash:" + tokens.hash_of(BASE + CLIP), 5.0, 60)
+    return f"GET {CLIP}?URISigningPackage={token} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+
+
+REQUESTS: dict[str, Callable[[], bytes]] = {"fastcgi": asked, "signed": http_request}
+both = pytest.mark.parametrize("kind", list(REQUESTS))
+
+
+@both
+def test_silence_and_half_a_request_end_within_three_seconds(kind: str) -> None:
+    hall = Hall()
+    silent, half, used = (hall.connect(kind) for _ in range(3))
+    used.dataReceived(REQUESTS[kind]())
+    hall.replies[0](Served(Content(b"x")))
+    for _ in range(4):  # a byte now and then is no progress
+        half.dataReceived(REQUESTS[kind]()[:1] if half.held() == 0 else REQUESTS[kind]()[1:2])
+        hall.wait(625.0)
+    assert (silent.code, half.code, used.code) == ("silent", "half-request", "")
+    used.dataReceived(REQUESTS[kind]()[:-1])
+    hall.wait(2500.0)
+    assert used.code == "half-request"
+
+
+@both
+def test_where_the_table_is_full_the_longest_idle_goes(kind: str) -> None:
+    hall = Hall()
+    links = [hall.connect(kind) for _ in range(3)]
+    for link in links:
+        link.dataReceived(REQUESTS[kind]())
+    assert hall.connect(kind).code == "table-full"  # each of them has an open request
+    for place in (2, 0, 1):
+        hall.replies[place](Refused(0.0))
+    links[2].dataReceived(REQUESTS[kind]())
+    assert hall.connect(kind).code == "" and [link.code for link in links] == ["evicted", "", ""]
+    assert hall.connect(kind).code == "" and [link.code for link in links] == ["evicted", "evicted", ""]
+    assert len(hall.table) == 3
+
+
+@both
+def test_parts_and_unread_answers_share_one_budget(kind: str) -> None:
+    hall = Hall(limit=5000)
+    small, large, reader = (hall.connect(kind) for _ in range(3))
+    part = REQUESTS[kind]()[:30]
+    small.dataReceived(part)
+    reader.dataReceived(REQUESTS[kind]())
+    reader.pauseProducing()
+    hall.replies[0](Served(Content(bytes(2000))))
+    assert hall.table.budget.total > 2000
+    large.dataReceived(
+        part + b"x" * 4000 if kind == "signed" else b"\x01\x04\x00\x01\xff\xff\x00\x00" + bytes(4000)
+    )
+    assert (small.code, large.code, reader.code) == ("", "memory", "")
+    reader.resumeProducing()
+    small.close("done")
+    for link in (small, large, reader):
+        link.connectionLost()
+    assert hall.table.budget.total == 0 and len(hall.table) == 0
+
+
+@both
+def test_a_client_that_never_reads_is_cut_off_though_it_keeps_asking(kind: str) -> None:
+    hall = Hall()
+    link = hall.connect(kind)
+    for _ in range(5):
+        link.dataReceived(REQUESTS[kind]())
+        hall.replies[-1](Served(Content(b"x")))
+        link.pauseProducing()
+        hall.wait(2500.0)
+    assert link.code == "stalled"
+
+
+def test_the_same_misuse_again_and_again_ends_the_connection() -> None:
+    hall = Hall()
+    link, bad = hall.connect("fastcgi"), asked(params=PARAMS | {"HTTP_X_ROW": "no object"})
+    for _ in range(MISUSES - 1):
+        link.dataReceived(bad)
+    assert link.code == ""
+    link.dataReceived(asked())
+    hall.replies[0](Served(Content(b"x")))
+    for _ in range(MISUSES):
+        link.dataReceived(bad * 2)
+    transport: Any = link.transport
+    assert link.code == "misuse" and transport.value().count(b"Status: 400") == 2 * MISUSES - 1
--- /dev/null
+++ b/thornjunction/net/client_link.py
@@ -0,0 +1,168 @@
+"""A client's connection, as both fronts share it: its slot, its time limits, what it holds in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from twisted.internet import protocol
+from twisted.internet.interfaces import IPushProducer
+from twisted.python.failure import Failure
+from zope.interface import implementer  # type: ignore[import-untyped]
+
+from thornjunction.memory.budget import Budget
+from thornjunction.memory.deadlines import Deadline, Deadlines
+from thornjunction.memory.slots import SlotTable
+from thornjunction.net.endings import code_of, log_end
+from thornjunction.net.transport import Transport
+
+LOOK_MS = 500.0  # between looks at a connection's times
+SILENT_MS = 2_000.0  # for the first whole request, and for the rest of one that has begun: 3 s are owed
+IDLE_MS, STALL_MS = 30_000.0, 10_000.0  # without a request; with a client that does not read
+
+
+class ClientTable:
+    """The connections of all fronts in numbered slots; where all are taken, the longest idle one goes."""
+
+    def __init__(self, capacity: int, budget: Budget) -> None:
+        self.budget = budget
+        self._slots: SlotTable[ClientLink] = SlotTable(capacity)
+        self._idle: dict[ClientLink, None] = {}  # in the order in which they fell idle
+
+    def __len__(self) -> int:
+        return len(self._slots)
+
+    def __iter__(self) -> Iterator[ClientLink]:
+        return iter(self._slots)
+
+    def add(self, link: ClientLink) -> int | None:
+        """Its number; None where every connection has an open request."""
+        if self._slots.full:
+            # Guards against clients that ask once and hold their connection: the next ones found no room.
+            longest = next(iter(self._idle), None)
+            if longest is not None:
+                longest.close("evicted")
+                self.remove(longest)
+        number = self._slots.add(link)
+        if number is not None:
+            self._idle[link] = None
+        return number
+
+    def mark(self, link: ClientLink, is_open: bool) -> None:
+        """Told after each turn of a connection: it goes to the end of the line, or out of it."""
+        self._idle.pop(link, None)
+        if not is_open and link.slot is not None:
+            self._idle[link] = None
+
+    def remove(self, link: ClientLink) -> None:
+        self._idle.pop(link, None)
+        if link.slot is not None:
+            self._slots.remove(link.slot)
+
+
+@implementer(IPushProducer)
+class ClientLink(protocol.Protocol):
+    """One connection; a front's own kind says what is asked on it."""
+
+    transport: Transport  # type: ignore[assignment]
+    kind = "client"
+
+    def __init__(self, table: ClientTable, deadlines: Deadlines, clock: Callable[[], float]):
+        self.table, self.deadlines, self.clock = table, deadlines, clock
+        self.slot: int | None = None
+        self.code, self.answered = "", 0
+        self.asked = False  # whether a whole request ever came
+        self._since = self._part_since = 0.0  # of the last turn; of a request that has come in part, or 0
+        self._unread, self._paused = 0, False  # bytes written while the client did not read
+        self._held = 0  # bytes that the budget knows of
+        self._watch: Deadline | None = None
+        self._stall: Deadline | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self._since = self.clock()
+        self.slot = self.table.add(self)
+        if self.slot is None:
+            return self.close("table-full")
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._look()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
+        self.deadlines.cancel(self._watch)
+        self.deadlines.cancel(self._stall)
+        self.code = self.code or code_of(reason)
+        self.table.remove(self)
+        self._hold(0)
+        log_end(self.kind, self.slot, self.code, answered=self.answered)
+
+    def is_open(self) -> bool:
+        """Whether a request of this connection is owed its answer."""
+        raise NotImplementedError
+
+    def held(self) -> int:
+        """Bytes of requests that have come in part."""
+        raise NotImplementedError
+
+    def turned(self, whole: bool = False) -> None:
+        """After bytes came or an answer went out; ``whole``: a request has come whole."""
+        if self.code:
+            return
+        now, held, self.asked = self.clock(), self.held(), self.asked or whole
+        if self.asked:
+            self._since = now
+        if not held:
+            self._part_since = 0.0
+        elif whole or not self._part_since:
+            self._part_since = now
+        self.table.mark(self, self.is_open())
+        self._hold(held + self._unread)
+
+    def _hold(self, size: int) -> None:
+        if size or self._held:
+            self._held = size
+            self.table.budget.hold(self.close, size)
+
+    def _look(self) -> None:
+        now = self.clock()
+        code = "" if self.is_open() else self._overdue(now)
+        if code:
+            return self.close(code)
+        self._watch = self.deadlines.add(now + LOOK_MS, self._look)
+
+    def _overdue(self, now: float) -> str:
+        if self._part_since and now - self._part_since >= SILENT_MS:
+            return "half-request"
+        if not self.asked and now - self._since >= SILENT_MS:
+            return "silent"
+        return "idle" if now - self._since >= IDLE_MS else ""
+
+    def write(self, data: bytes) -> None:
+        """An answer, whole."""
+        self.answered += 1
+        self.transport.write(data)
+        if self._paused:
+            self._unread += len(data)
+
+    def close(self, code: str) -> None:
+        self.code = self.code or code
+        self.transport.abortConnection()
+
+    def finish(self, code: str) -> None:
+        """Close after what was written has gone out."""
+        self.code = self.code or code
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """The client does not read: it may hold the memory of its answers for so long."""
+        if self._paused:  # told anew with each write
+            return
+        self._paused = True
+        self._stall = self.deadlines.add(self.clock() + STALL_MS, lambda: self.close("stalled"))
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self._paused, self._unread = False, 0
+        self.deadlines.cancel(self._stall)
+        self._hold(0 if self.code else self.held())
+
+    def stopProducing(self) -> None:  # noqa: N802
+        self.deadlines.cancel(self._stall)
--- a/thornjunction/net/front_fastcgi.py
+++ b/thornjunction/net/front_fastcgi.py
@@ -7,19 +7,15 @@
 from typing import Protocol as Port
 
 from twisted.internet import protocol
-from twisted.internet.interfaces import IPushProducer
 from twisted.python.failure import Failure
-from zope.interface import implementer  # type: ignore[import-untyped]
 
 from thornjunction.core.ports import Answer, Call, Reply
-from thornjunction.memory.deadlines import Deadline, Deadlines
-from thornjunction.memory.slots import SlotTable
-from thornjunction.net.endings import code_of, log_end
-from thornjunction.net.transport import Transport
+from thornjunction.memory.deadlines import Deadlines
+from thornjunction.net.client_link import ClientLink, ClientTable
 from thornjunction.net.wire import ProtocolError, fastcgi, platform
 
-IDLE_MS, STALL_MS = 30_000.0, 10_000.0  # without a request; with a client that does not read
-MAX_OPEN = 64  # requests on one connection; the platform's fronts have 32
+MAX_OPEN = fastcgi.MAX_OPEN  # requests on one connection: as many as the platform's fronts have
+MISUSES = 16  # requests in a row that can't be used, after which their connection is closed
 
 
 class Core(Port):
@@ -38,71 +34,6 @@
     number: int | None = None
 
 
-@implementer(IPushProducer)
-class ClientLink(protocol.Protocol):
-    """A client's connection in a numbered slot, with its time limits: shared by the fronts."""
-
-    transport: Transport  # type: ignore[assignment]
-    kind = "client"
-
-    def __init__(self, table: SlotTable[ClientLink], deadlines: Deadlines, clock: Callable[[], float]):
-        self.table, self.deadlines, self.clock = table, deadlines, clock
-        self.slot: int | None = None
-        self.code, self.answered = "", 0
-        self._idle: Deadline | None = None
-        self._stall: Deadline | None = None
-
-    def connectionMade(self) -> None:  # noqa: N802
-        self.slot = self.table.add(self)
-        if self.slot is None:
-            return self.close("table-full")
-        self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, True)
-        self.set_idle()
-
-    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
-        self.deadlines.cancel(self._idle)
-        self.deadlines.cancel(self._stall)
-        if self.slot is not None:
-            self.table.remove(self.slot)
-        log_end(self.kind, self.slot, self.code or code_of(reason), answered=self.answered)
-        self.code = self.code or "gone"
-
-    def set_idle(self) -> None:
-        self.deadlines.cancel(self._idle)
-        self._idle = self.deadlines.add(self.clock() + IDLE_MS, self.idle_over)
-
-    def idle_over(self) -> None:
-        if self.is_open():
-            return self.set_idle()
-        self.close("idle")
-
-    def is_open(self) -> bool:
-        """Whether a request of this connection is owed its answer."""
-        raise NotImplementedError
-
-    def close(self, code: str) -> None:
-        self.code = self.code or code
-        self.transport.abortConnection()
-
-    def finish(self, code: str) -> None:
-        """Close after what was written has gone out."""
-        self.code = self.code or code
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """The client does not read: it may hold the memory of its answers for so long."""
-        self.deadlines.cancel(self._stall)
-        self._stall = self.deadlines.add(self.clock() + STALL_MS, lambda: self.close("stalled"))
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        self.deadlines.cancel(self._stall)
-
-    def stopProducing(self) -> None:  # noqa: N802
-        self.deadlines.cancel(self._stall)
-
-
 class FastCgiLink(ClientLink):
     """One connection of the platform's web servers."""
 
@@ -110,7 +41,7 @@
 
     def __init__(
         self,
-        table: SlotTable[ClientLink],
+        table: ClientTable,
         deadlines: Deadlines,
         clock: Callable[[], float],
         core: Core,
@@ -122,18 +53,25 @@
         self.core, self.ready, self.busy, self.spent_ms = core, ready, busy, spent_ms
         self.reader = fastcgi.RequestReader()
         self.pending: dict[int, Pending] = {}
+        self.misuses = 0
 
     def is_open(self) -> bool:
         return bool(self.pending)
 
+    def held(self) -> int:
+        return self.reader.held
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         try:
             messages = self.reader.feed(data)
         except ProtocolError as error:
             return self.close(str(error))
+        whole = False
         for message in messages:
             if not self.code:
                 self._take(message)
+                whole = whole or isinstance(message, fastcgi.Asked | fastcgi.Declined)
+        self.turned(whole)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         super().connectionLost(reason)
@@ -168,7 +106,8 @@
         try:
             call = platform.decode_call(asked.params, asked.body, self.spent_ms())
         except ProtocolError:
-            return self._write(ident, fastcgi.encode_answer(ident, platform.BAD_REQUEST), asked.keep)
+            return self._misused(ident, asked.keep)
+        self.misuses = 0
         pending = self.pending[ident] = Pending(asked.keep)
         number = None
         if len(self.pending) <= MAX_OPEN:
@@ -178,15 +117,21 @@
         elif self.pending.pop(ident, None) is pending:
             self._write(ident, fastcgi.encode_end(ident, fastcgi.OVERLOADED), asked.keep)
 
+    def _misused(self, ident: int, keep: bool) -> None:
+        """Guards the core's time against a client that sends the same again as soon as it is turned away."""
+        self.misuses += 1
+        self._write(ident, fastcgi.encode_answer(ident, platform.BAD_REQUEST), keep)
+        if self.misuses >= MISUSES and not self.pending and not self.code:
+            self.finish("misuse")
+
     def _reply(self, ident: int, pending: Pending, answer: Answer) -> None:
         if self.pending.get(ident) is pending:
             del self.pending[ident]
             self._write(ident, fastcgi.encode_answer(ident, platform.encode_cgi(answer)), pending.keep)
 
     def _write(self, ident: int, data: bytes, keep: bool) -> None:
-        self.answered += 1
-        self.transport.write(data)
+        self.write(data)
         if not keep:
             self.finish("no-keep-conn")
         else:
-            self.set_idle()
+            self.turned()
--- a/thornjunction/net/front_signed.py
+++ b/thornjunction/net/front_signed.py
@@ -15,8 +15,8 @@
 from thornjunction import interface as api
 from thornjunction.core.ports import Answer
 from thornjunction.memory.deadlines import Deadlines
-from thornjunction.memory.slots import SlotTable
-from thornjunction.net.front_fastcgi import ClientLink, Core
+from thornjunction.net.client_link import ClientLink, ClientTable
+from thornjunction.net.front_fastcgi import Core
 from thornjunction.net.wire import ProtocolError, http1, signed
 from thornjunction.signing import tokens
 
@@ -43,7 +43,7 @@
     kind = "signed"
 
     def __init__(
-        self, table: SlotTable[ClientLink], deadlines: Deadlines, clock: Callable[[], float], door: Door
+        self, table: ClientTable, deadlines: Deadlines, clock: Callable[[], float], door: Door
     ) -> None:
         super().__init__(table, deadlines, clock)
         self.door = door
@@ -55,16 +55,22 @@
     def is_open(self) -> bool:
         return self.serving
 
+    def held(self) -> int:
+        return self.reader.held
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.code:
             return
+        before = len(self.waiting)
         try:
             self.waiting.extend(self.reader.feed(data))
         except ProtocolError as error:
             return self._malformed(str(error))
         if len(self.waiting) > MAX_WAITING:
             return self.close("pipeline")
+        whole = len(self.waiting) > before
         self._next()
+        self.turned(whole)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         super().connectionLost(reason)
@@ -116,9 +122,8 @@
         return {"Set-Cookie": signed.cookie_for(token, target, grant.depth, grant.renew_s)}
 
     def _write(self, response: http1.HttpResponse) -> None:
-        self.answered += 1
-        self.transport.write(http1.encode_response(response))
+        self.write(http1.encode_response(response))
         if response.keep:
-            self.set_idle()
+            self.turned()
         else:
             self.finish("no-keep-alive")
--- a/thornjunction/net/shelves.py
+++ b/thornjunction/net/shelves.py
@@ -17,6 +17,7 @@
 
 from thornjunction import interface as api
 from thornjunction.core.ports import Content, Order
+from thornjunction.memory.budget import Budget
 from thornjunction.memory.deadlines import Deadline, Deadlines
 from thornjunction.memory.slots import SlotTable
 from thornjunction.net.endings import code_of, log_end
@@ -103,16 +104,23 @@
                 self._answer(shelf.decode_answer(items))
         except ProtocolError as error:
             return self.close(str(error))
-        if self.part is None and self.reader.partial and not self.code:
+        if self.reader.held and not self.code:
+            self._in_part()
+
+    def _in_part(self) -> None:
+        if self.part is None:
             # Guards against a false length that swallows the answers behind it, and one that stops short.
             when = self.pool.clock() + PART_MS
             self.part = self.pool.deadlines.add(when, lambda: self.close("part-answer"))
+        self.pool.budget.hold(self.close, self.reader.held)
 
     def _whole(self) -> None:
         """Only a whole answer is a sign of life."""
         self.heard, self.suspect = self.pool.clock(), self.retired
-        self.pool.deadlines.cancel(self.part)
-        self.part = None
+        if self.part is not None:
+            self.pool.deadlines.cancel(self.part)
+            self.pool.budget.hold(self.close, 0)
+            self.part = None
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         self.pool.lost(self, self.code or code_of(reason))
@@ -181,8 +189,11 @@
 
     ends: Ends
 
-    def __init__(self, reactor: Any, limits: Limits, deadlines: Deadlines, clock: Callable[[], float]):
+    def __init__(
+        self, reactor: Any, limits: Limits, deadlines: Deadlines, clock: Callable[[], float], budget: Budget
+    ) -> None:
         self.reactor, self.limits, self.deadlines, self.clock = reactor, limits, deadlines, clock
+        self.budget = budget
         self.links: SlotTable[ShelfLink] = SlotTable(limits.connections)
         self.shelves: dict[str, Shelf] = {}
         self._where: dict[int, tuple[Shelf, str]] = {}  # by attempt: the shelf and the ident there
@@ -318,6 +329,7 @@
         """A connection ended: what was out on it may have run."""
         self.deadlines.cancel(link.idle)
         self.deadlines.cancel(link.part)
+        self.budget.hold(link.close, 0)
         link.code = link.code or code
         if link.slot is not None:
             self.links.remove(link.slot)
--- a/thornjunction/net/wire/fastcgi.py
+++ b/thornjunction/net/wire/fastcgi.py
@@ -65,6 +65,10 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def held(self) -> int:
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Record]:
         self._buffer += data
         records: list[Record] = []
@@ -98,6 +102,12 @@
         self._records = RecordReader()
         self._open: dict[int, _Partial] = {}
 
+    @property
+    def held(self) -> int:
+        """Bytes of what has come in part, with something for each request that has begun."""
+        parts = sum(64 + len(part.params) + len(part.body) for part in self._open.values())
+        return self._records.held + parts
+
     def feed(self, data: bytes) -> list[Message]:
         messages = (self._take(record) for record in self._records.feed(data))
         return [message for message in messages if message is not None]
--- a/thornjunction/net/wire/http1.py
+++ b/thornjunction/net/wire/http1.py
@@ -49,6 +49,11 @@
         self._chunked = self._trailing = False
         self._body = bytearray()
 
+    @property
+    def held(self) -> int:
+        """Bytes of a message that has come in part, with something for its head."""
+        return len(self._buffer) + len(self._body) + 64 * (self._head is not None)
+
     def feed(self, data: bytes) -> list[M]:
         self._buffer += data
         messages: list[M] = []
--- a/thornjunction/net/wire/resp.py
+++ b/thornjunction/net/wire/resp.py
@@ -29,9 +29,9 @@
         return arrays
 
     @property
-    def partial(self) -> bool:
-        """Whether an array has begun and not come whole."""
-        return self._left > 0 or bool(self._buffer)
+    def held(self) -> int:
+        """Bytes of an array that has begun and not come whole, with something for its start."""
+        return len(self._buffer) + sum(map(len, self._items)) + 64 * (self._left > 0)
 
     def _step(self) -> bool:
         """Read one line or bulk; False if it has not come whole."""
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -20,6 +20,8 @@
 from thornjunction.settings import Params, WireError, parse_json, read_roles, read_settings
 from thornjunction.signing.tokens import ALGORITHMS, Key, SigningKey, Trust
 
+BUFFER_SHARE = 0.2  # of the memory; half of the least that the platform gives is the program itself
+
 
 class ConfigError(Exception):
     """What is wrong with the configuration, naming the key."""
@@ -34,6 +36,7 @@
     seed: int
     cores: float
     sockets: int
+    buffer_bytes: int  # of all connections together
     channel: tuple[str, int]
     known: Commands
     settings: api.Settings
@@ -74,6 +77,7 @@
         seed=_seed(top.get("seed", str, "0")),
         cores=min(max(limits.number("cores", 1.0), 0.05), 1.0),
         sockets=sockets,
+        buffer_bytes=int(limits.number("memory_mb", 64.0) * 1e6 * BUFFER_SHARE),
         channel=_address("channel", top.get("channel", str)),
         known=_known(top.get("known", dict)),
         settings=settings,
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -14,10 +14,11 @@
 from thornjunction.core.counters import Counters
 from thornjunction.core.engine import Engine
 from thornjunction.core.ports import Refused
-from thornjunction.memory.slots import SlotTable
+from thornjunction.memory.budget import Budget
 from thornjunction.net.alarm import Alarm, core_ms, unix_to_core
 from thornjunction.net.channel import Channel
-from thornjunction.net.front_fastcgi import ClientLink, FastCgiLink
+from thornjunction.net.client_link import ClientLink, ClientTable
+from thornjunction.net.front_fastcgi import FastCgiLink
 from thornjunction.net.front_signed import Door, SignedLink
 from thornjunction.net.metrics import Metrics
 from thornjunction.net.shelves import ShelfPool
@@ -44,13 +45,14 @@
         self.config, self.reactor, self.load = config, reactor, load
         self.alarm = Alarm(reactor)
         deadlines = self.alarm.deadlines
-        self.pool = ShelfPool(reactor, config.shelves, deadlines, core_ms)
+        budget = Budget(config.buffer_bytes)
+        self.pool = ShelfPool(reactor, config.shelves, deadlines, core_ms, budget)
         router = Router(config.settings, config.seed)
         attempts = config.settings.max_attempts
         self.engine = Engine(router, attempts, core_ms, deadlines, self.pool, counters)
         self.pool.ends = self.engine
         self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take)
-        self.clients: SlotTable[ClientLink] = SlotTable(max(config.sockets // 3, 1))
+        self.clients = ClientTable(max(config.sockets // 3, 1), budget)
         self.ready = self.draining = False
         self.admission = Admission(random.Random(config.seed).random, config.cores)
         wait_ms = config.settings.max_wait_advice_ms if config.settings.may_advise_wait else 0.0
