Send a copy beside an answer that seems lost, as long as copies pay

Lines at fault: Router.dispatch waits for each attempt until the deadline; watch acts only where a shelf answers nobody.

Change: once a safe request's attempt is older than 95 in 100 answers of its class (a quantile moved by each answer) and its cache has answered others since, a second copy goes out, if the settings allow it. A gate counts who wins: where the first answer does, all are slow and copies become few. Not where a gate has begun to shut.

--- a/thornjunction/interface.py
+++ b/thornjunction/interface.py
@@ -131,6 +131,7 @@
     flow_kb_per_ms: float = 0.0  # most that one transfer to a client gets; 0: not told
     weighted: bool = False  # a server's weight is its size in such transfers
     may_cancel: bool = False
+    may_copy: bool = False  # two attempts of a request may be out together
     may_probe: bool = False
     may_bypass: bool = False  # requests may go straight to a parent or the origin
     may_join: bool = False  # a request may wait for a fill that is under way
--- a/thornjunction/rules.py
+++ b/thornjunction/rules.py
@@ -27,6 +27,8 @@
 RETRY_SHARE, RETRY_DEPTH = 0.5, 20.0  # further attempts for each request, and how many may be saved up
 EJECT_AFTER, EJECT_FIRST, EJECT_LAST = 5, 500.0, 4_000.0  # bad outcomes in a row; ms out
 ERRORS, ONE_RESET = 3, 10.0  # errors after which the request is at fault; ms in which resets are one
+COPIED, USUAL_STEP, USUAL_LEAST = 0.05, 0.02, 0.2  # of requests that get a copy; of the aim: step, least
+CALM = 0.8  # of gates, below which no copies are sent
 SILENT, SILENT_OUT = 500.0, 2  # ms past the sending time without any answer, with so many attempts out
 GATE_CUT, GATE_RAISE, GATE_LEAST = 0.85, 0.04, 0.05  # a fifth late leaves it open, a half late one third
 CHOICES = 2  # caches by hash that a new request may go to: hot objects get a second copy (paper, section 3)
@@ -59,6 +61,16 @@
         return default if self.value is None else self.value
 
 
+class Usual:
+    """Share of the aim within which most answers of a class come: a quantile, moved by each answer."""
+
+    def __init__(self) -> None:
+        self.share = 1.0
+
+    def add(self, over: bool) -> None:
+        self.share = min(max(self.share + USUAL_STEP * (over - COPIED), USUAL_LEAST), 1.0)
+
+
 class Gate:
     """Lets through a share by the answers in time: it holds for one busy front and for hundreds that have one
     request out each, as a count would not.  Large requests give way first: more are served for the bytes."""
@@ -136,7 +148,9 @@
     source: Server | None
     sent: float
     job: Job
+    number: int
     late: bool = False  # counted as such
+    overdue: bool = False
 
 
 class Job:  # a request that is owed an answer
@@ -147,7 +161,7 @@
         self.effect = event.idempotency_key if kind.safety is api.Safety.KEYED else ""
         self.copy = mix(mix(event.key) ^ event.part)  # each part is kept as a copy of its own
         self.deadline, self.attempts, self.miss = now + event.left_ms - MARGIN, 0, False
-        self.out: Attempt | None = None
+        self.out: list[Attempt] = []  # a second one is the copy of a first that takes too long
         self.maybe: Attempt | None = None  # the first attempt that may have run
         self.tried: set[str] = set()  # caches and sources that did not serve it
         self.faults: list[Server] = []  # who answered it with an error
@@ -167,6 +181,7 @@
         self.by_role: dict[api.Role, list[Server]] = {role: [] for role in api.Role}  # edges: of this zone
         self.orders: dict[tuple[int, api.Role], list[Server]] = {}  # preferences, until the list changes
         self.most = dict.fromkeys(api.Role, 1)  # ever listed: who bears the load where none is away
+        self.usual = {name: Usual() for name in self.classes}
         self.jobs: dict[str, Job] = {}
         self.held: dict[str, Job] = {}  # those of them that wait for a cache that may take them
         self.timers: dict[int, Job] = {}
@@ -177,6 +192,7 @@
         self.fetch, self.link, self.size = Mean(FAST_GAIN), Mean(FAST_GAIN), Mean(SLOW_GAIN)
         self.asked, self.load = 0.0, Mean(FAST_GAIN)  # sending time asked of this front: lately, and a ms
         self.fills, self.behind = Gate(), Gate()  # what is filled, and what parents fetch from the origin
+        self.copies = Gate()
         self.purges: dict[tuple[str, int], float] = {}
         self.effects: dict[str, Attempt] = {}  # by idempotency key: the first attempt that may have run
         self.now = self.purged_all = -math.inf
@@ -258,11 +274,15 @@
         attempt.server.out.pop((event.request, event.attempt), None)
         self.learn(event, attempt)
         self.settle(attempt, event.status)
-        if job is None or job.out is not attempt:
+        if job is None or attempt not in job.out:
             return
-        job.out = None
+        job.out.remove(attempt)
+        if job.out and event.final:  # copies pay where the first answer was lost, and not where all are slow
+            self.copies.answer(late=attempt.number < job.out[0].number)
         if event.final or event.status is api.Status.DONE:
             return self.close(job)
+        if job.out:  # its end decides
+            return
         if event.status is api.Status.MISS and not job.kind.passes:  # no more was asked than what is held
             return self.give_up(job)
         job.maybe = job.maybe or (None if event.status in NEVER_RAN else attempt)
@@ -282,6 +302,9 @@
             self.judge(attempt, self.now - attempt.sent, api.Note.NONE, done=False)
         for server in dict.fromkeys(attempt.server for attempt in self.flying.values()):
             self.watch(server)
+        for attempt in [out for out in self.flying.values() if self.overdue(out)]:
+            if self.copies.lets(self.random):
+                self.send(attempt.job, self.cache(attempt.job), self.source(attempt.job))
         if self.now - self.stepped >= SECOND:
             asked = self.asked / (self.now - self.stepped)  # under strain clients' repeats swell it
             self.load.add(asked if self.fills.share >= 1 else min(asked, self.load.get(asked)))
@@ -423,6 +446,26 @@
             if any(self.within_budget(s, job.mean) and not s.down for s in caches) or not caches:
                 return self.give_up(job)
             return self.held.update({job.id: job})  # all are down, or cold and past a budget that will grow
+        self.send(job, server, source)
+
+    def overdue(self, attempt: Attempt) -> bool:
+        """An answer that may be lost, as most of its class have come sooner: a copy is sent beside it.
+        Harm: more work where all are slow; so few are sent, and none where a gate has begun to shut."""
+        job, usual = attempt.job, self.usual[attempt.job.kind.name]
+        alone = self.settings.may_copy and job.out == [attempt] and self.jobs.get(job.id) is job
+        if not alone or job.kind.safety is not api.Safety.SAFE or self.retries < 1 or job.attempts > 1:
+            return False
+        if attempt.overdue or self.now - attempt.sent <= usual.share * job.aim:
+            return False
+        attempt.overdue = True
+        usual.add(True)
+        heard = attempt.server.heard > attempt.sent  # else the cache may be cut off: ``watch`` sees to it
+        return heard and min(self.fills.share, attempt.server.gate.share) >= CALM
+
+    def send(self, job: Job, server: Server | None, source: Server | None) -> None:
+        """One attempt."""
+        if server is None:
+            return
         self.retries -= job.attempts > 0
         # To the end: fills that are called off are fetched again and feed a jam.  ``watch`` sees to silence.
         passes, left = job.kind.passes, job.deadline - self.now
@@ -430,10 +473,12 @@
         # what one of many fronts cannot.  Misses are refused.  Harm: where the cause has just passed.
         held_only = not passes and not self.behind.lets(self.random)
         source = source if passes or self.fills.lets(self.random, job.weight) else None
-        key, job.attempts = (job.id, job.attempts), job.attempts + 1
-        job.out = self.flying[key] = server.out[key] = Attempt(server, source, self.now, job)
+        key = (job.id, job.attempts)
+        attempt = self.flying[key] = server.out[key] = Attempt(server, source, self.now, job, job.attempts)
+        job.out.append(attempt)
+        job.attempts += 1
         if job.effect:
-            self.effects.setdefault(job.effect, job.out)
+            self.effects.setdefault(job.effect, attempt)
         for asked, work in ((server, job.mean), (source, job.work)):
             if asked is not None:
                 self.within_budget(asked, work, take=True)
@@ -474,6 +519,8 @@
         server.down = refused
         server.heard = server.heard if refused or status is api.Status.TIMEOUT else self.now
         good = status is api.Status.DONE
+        if good and not attempt.overdue:
+            self.usual[job.kind.name].add(False)
         if event.note in (api.Note.FILLED_FROM_ORIGIN, api.Note.ORIGIN_FAILED):
             self.behind.answer(not good or event.took_ms > job.aim)
         if good or at_source:
@@ -510,12 +557,12 @@
         """Forget a request; an attempt that is still out is called off where that saves work."""
         del self.jobs[job.id]
         self.held.pop(job.id, None)
-        if job.out is not None and self.settings.may_cancel:
-            self.actions.append(api.Cancel(job.id, job.attempts - 1))
+        for attempt in job.out if self.settings.may_cancel else ():
+            self.actions.append(api.Cancel(job.id, attempt.number))
 
     def give_up(self, job: Job) -> None:
         """The final answer where nothing served: a refusal only if a repeat can do no harm."""
-        harmless = job.kind.safety is api.Safety.SAFE or (job.out is None and job.maybe is None)
+        harmless = job.kind.safety is api.Safety.SAFE or (not job.out and job.maybe is None)
         self.close(job)
         self.actions.append(self.refusal(job.id) if harmless else api.Fail(job.id))
 
--- a/thornjunction/settings.py
+++ b/thornjunction/settings.py
@@ -110,6 +110,7 @@
         flow_kb_per_ms=special.number("oneFlowKbPerS", 0.0) / 1000.0,
         weighted=params.get("weights", str, "none") in ("nominal", "rough"),
         may_cancel=allowed.get("cancel", bool, False),
+        may_copy=allowed.get("secondCopies", bool, False),
         may_probe=allowed.get("probing", bool, False),
         may_bypass=special.get("mayPassBy", bool, False),
         may_join=special.get("collapses", bool, False),
