Use a request's time to its end: it counts from its last byte, so no ways are taken off

In a trace clients that wait little gave each request hardly more than its own sending time; most refused ones lacked 10 to 60 ms, of which the router itself had taken 20 and twice the loop's lateness.

Lines at fault: Admission.spent_ms, whose 20 ms for the ways date from when a late answer counted as lost. The answer still goes out at the module's deadline, 6 ms before the end.

--- a/thornjunction/core/admission.py
+++ b/thornjunction/core/admission.py
@@ -12,7 +12,7 @@
 FULL = 0.85  # of what the core gives us, in use: past it fewer are admitted; queues grow without end near 1
 BUSY = 0.5  # in use, at the least, where a late look is our own work's doing
 MOST_OPEN = 384  # requests at once: half as many again as a calm day holds open; past it all get later
-WAYS_MS, FADE = 20.0, 0.98  # to the client and back; of the greatest lateness, kept from look to look
+FADE = 0.98  # of the greatest lateness, kept from look to look
 CUT, EASE, RAISE, LEAST = 0.9, 0.97, 0.01, 0.1  # of the admitted share: late, full, neither
 
 
@@ -34,9 +34,9 @@
             self.share = min(self.share + RAISE, 1.0)
 
     def spent_ms(self) -> float:
-        """Time that a request may have used before it was read, and that its answer will use: the ways to the
-        client and back, and turns of the loop at both ends.  Guards against answers that come too late."""
-        return WAYS_MS + 2.0 * self.late_ms
+        """Time that a request may have used before it was read: a turn of the loop.  The rest is its own, to
+        the end: its time counts from its last byte, and clients who wait little need each millisecond."""
+        return self.late_ms
 
     def admits(self, open_now: int) -> bool:
         if open_now >= MOST_OPEN:
