Open up to eight connections to a shelf where none of those open has room

Lines at fault: ShelfPool._may_dial allowed four connections, 128 streams, which is less than a large box's share at the peak; the rest ended as SKIPPED until the module's attempts were spent.

Change: four are still opened beside others that have room; where none has, up to eight. With 256 descriptors 85 are for shelfs, so the table still bounds them.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -130,6 +130,20 @@
             yield self.rig.until(lambda: self.rig.pool.shelves["edge1"].dial is None)
         self.assertEqual(sorted(len(way.out) for way in self.rig.pool.links), [2, 3, 3])
 
+    @inlineCallbacks
+    def test_where_no_connection_has_room_more_are_opened_up_to_a_bound(self) -> Any:
+        """Four of 32 streams are less than a large box's share at the peak: the rest was refused unsent."""
+        streams = self.rig.pool.limits.max_streams
+        room = streams * shelves.NEEDED
+        self.rig.script = [None] * (room + 1)
+        for number in range(room):
+            self.send(number, f"t{number}")
+            yield self.rig.until(lambda number=number: len(self.rig.asked) == number + 1)
+            yield self.rig.until(lambda: self.rig.pool.shelves["edge1"].dial is None)
+        self.assertEqual([len(way.out) for way in self.rig.pool.links], [streams] * shelves.NEEDED)
+        self.send(room, "past")
+        self.assertEqual(self.told, [(room, api.Status.SKIPPED, None)])
+
     @inlineCallbacks
     def test_a_connection_gets_worn_by_what_is_given_up_on_it(self) -> Any:
         """The idents of what was given up are kept, for its late answers; so many, and no more."""
--- a/thornjunction/net/shelves.py
+++ b/thornjunction/net/shelves.py
@@ -27,7 +27,8 @@
 from thornjunction.net.wire.resp import ArrayReader
 from thornjunction.settings import read_report
 
-PREFERRED, AT_MOST = 4, 6  # connections to one shelf: in use; with those under suspicion
+PREFERRED, NEEDED, AT_MOST = 4, 8, 10  # connections to one shelf: opened beside others with room; where
+# none has room (32 streams each, and a large box's share at the peak is over 128); with those under suspicion
 CROWDED = 2  # out on the least used connection, past which another is opened beside it
 WORN = 256  # idents given up on a connection, past which it gets no more
 PART_MS = 500.0  # for the rest of an answer that has begun; the largest takes 65 ms on the slowest link
@@ -257,21 +258,21 @@
         link = min((way for way in found.links if way.has_room(ident)), key=ShelfLink.load, default=None)
         if link is not None:
             link.put(ident, sent, data)
-            if link.load() > CROWDED and found.dial is None and self._may_dial(found):
+            if link.load() > CROWDED and found.dial is None and self._may_dial(found, PREFERRED):
                 self._dial(found)
             return
-        if ident in found.waiting or len(found.waiting) >= WAITING or not self._may_dial(found):
+        if ident in found.waiting or len(found.waiting) >= WAITING or not self._may_dial(found, NEEDED):
             # Guards against blame: BUSY would count against the shelf's source, which this pool never asked.
             return self._end(server, sent, api.Status.SKIPPED)
         found.waiting[ident] = (sent, data)
         if found.dial is None:
             self._dial(found)
 
-    def _may_dial(self, found: Shelf) -> bool:
+    def _may_dial(self, found: Shelf, most: int) -> bool:
         if found.dial is not None:
             return True
         trusted = sum(not link.suspect and not link.code for link in found.links)
-        return trusted < PREFERRED and len(found.links) < AT_MOST and not self.links.full
+        return trusted < most and len(found.links) < AT_MOST and not self.links.full
 
     def _dial(self, found: Shelf) -> None:
         assert found.host.address is not None
@@ -303,7 +304,7 @@
             sent, data = found.waiting.pop(ident)
             link.put(ident, sent, data)
         link.rest()
-        if found.waiting and self._may_dial(found):
+        if found.waiting and self._may_dial(found, NEEDED):
             return self._dial(found)
         self._fail_waiting(found, api.Status.SKIPPED)
 
