--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
+
 import pytest
 
 from tests.helpers import EDGES, ORIGIN, PARENTS, SETTINGS, Bench, edge, fetch_of, finals, only, parent
@@ -121,6 +124,17 @@
     assert not (router.jobs or router.flying or router.timers or router.held)
 
 
+def test_what_is_kept_by_key_holds_no_request() -> None:
+    """A key is kept for ten minutes; with its request it took 1.2 KB, which on a long day only grows."""
+    bench = Bench(may_bypass=True)
+    fetch = fetch_of(bench.ask(class_name="keyed", idempotency_key="k"))
+    job = weakref.ref(bench.router.jobs[fetch.request])
+    bench.answer(fetch)
+    bench.wait(6000.0)
+    gc.collect()
+    assert "k" in bench.router.effects and job() is None
+
+
 def test_failing_caches_are_passed_over_and_tried_again() -> None:
     bench = Bench()
     for key in range(200):
--- a/tests/test_signed_front.py
+++ b/tests/test_signed_front.py
@@ -130,8 +130,9 @@
             self.assertIn(response.status, (401, 403))
             self.assertNotIn("retry-after", response.headers)
         self.assertEqual(len(self.rig.wants()), 1)
-        for effect in self.rig.engine.router.effects.values():
-            effect.sent -= 10_000.0  # the archive has forgotten the first try by now
+        effects = self.rig.engine.router.effects
+        for key, (sent, entry) in list(effects.items()):
+            effects[key] = (sent - 10_000.0, entry)  # the archive has forgotten the first try by now
         response = yield self.ask(target, "POST", **how)
         self.assertIn(response.status, (502, 504))
         self.assertEqual(len(self.rig.wants()), 1)
--- a/thornjunction/rules.py
+++ b/thornjunction/rules.py
@@ -140,6 +140,9 @@
         return not self.ejected_for or (now >= self.ejected_until and not self.out)
 
 
+Ran = tuple[float, api.ServerEntry]  # when and where; all that is kept by key: a job takes 1 KB
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt that is out."""
@@ -149,6 +152,7 @@
     sent: float
     job: Job
     number: int
+    ran: Ran
     late: bool = False  # counted as such
     overdue: bool = False
 
@@ -162,7 +166,7 @@
         self.copy = mix(mix(event.key) ^ event.part)  # each part is kept as a copy of its own
         self.deadline, self.attempts, self.miss = now + event.left_ms - MARGIN, 0, False
         self.out: list[Attempt] = []  # a second one is the copy of a first that takes too long
-        self.maybe: Attempt | None = None  # the first attempt that may have run
+        self.maybe: Ran | None = None  # the first attempt that may have run
         self.tried: set[str] = set()  # caches and sources that did not serve it
         self.faults: list[Server] = []  # who answered it with an error
 
@@ -194,7 +198,7 @@
         self.fills, self.behind = Gate(), Gate()  # what is filled, and what parents fetch from the origin
         self.copies = Gate()
         self.purges: dict[tuple[str, int], float] = {}
-        self.effects: dict[str, Attempt] = {}  # by idempotency key: the first attempt that may have run
+        self.effects: dict[str, Ran] = {}  # by idempotency key: the first attempt that may have run
         self.now = self.purged_all = -math.inf
         self.w, self.retries, self.next_token = W_START, RETRY_DEPTH, 0
 
@@ -285,7 +289,7 @@
             return
         if event.status is api.Status.MISS and not job.kind.passes:  # no more was asked than what is held
             return self.give_up(job)
-        job.maybe = job.maybe or (None if event.status in NEVER_RAN else attempt)
+        job.maybe = job.maybe or (None if event.status in NEVER_RAN else attempt.ran)
         at_source, lost = event.note in BROKEN, event.status in (api.Status.RESET, api.Status.ERROR)
         if attempt.source is not None and (at_source or not lost or self.settings.notes is api.Notes.NONE):
             job.tried.add(attempt.source.id)
@@ -303,8 +307,8 @@
         for server in dict.fromkeys(attempt.server for attempt in self.flying.values()):
             self.watch(server)
         for attempt in [out for out in self.flying.values() if self.overdue(out)]:
-            if self.copies.lets(self.random):
-                self.send(attempt.job, self.cache(attempt.job), self.source(attempt.job))
+            if self.copies.lets(self.random) and (cache := self.cache(attempt.job)) is not None:
+                self.send(attempt.job, cache, self.source(attempt.job))
         if self.now - self.stepped >= SECOND:
             asked = self.asked / (self.now - self.stepped)  # under strain clients' repeats swell it
             self.load.add(asked if self.fills.share >= 1 else min(asked, self.load.get(asked)))
@@ -376,9 +380,9 @@
         """Rule 2: what may have run is resent only where and while its repeat is discarded."""
         if job.maybe is None or job.kind.safety is api.Safety.SAFE:
             return True
-        if job.kind.safety is api.Safety.UNSAFE or self.now >= job.maybe.sent + job.kind.memory_ms - MARGIN:
+        if job.kind.safety is api.Safety.UNSAFE or self.now >= job.maybe[0] + job.kind.memory_ms - MARGIN:
             return False
-        here, there, group = job.maybe.server.entry, server.entry, job.kind.group
+        here, there, group = job.maybe[1], server.entry, job.kind.group
         near = here.zone == there.zone if group is api.Group.ZONE else here.cell == there.cell
         return near or group is api.Group.ALL
 
@@ -386,7 +390,7 @@
         """Rule 2 across a client's tries: what may have run is known by its key while a try may come.
         Where no room is left for a new key, nothing is sent."""
         oldest = next(iter(self.effects), "")
-        while oldest and self.now - self.effects[oldest].sent > EFFECT_KEPT:
+        while oldest and self.now - self.effects[oldest][0] > EFFECT_KEPT:
             del self.effects[oldest]
             oldest = next(iter(self.effects), "")
         return not job.effect or job.effect in self.effects or len(self.effects) < EFFECTS
@@ -394,11 +398,11 @@
     def settle(self, attempt: Attempt, status: api.Status) -> None:
         """An attempt that proves it never ran leaves its key to another that is out, or to none."""
         effect = attempt.job.effect
-        if status in NEVER_RAN and self.effects.get(effect) is attempt:
+        if status in NEVER_RAN and self.effects.get(effect) is attempt.ran:
             del self.effects[effect]
             other = next((out for out in self.flying.values() if out.job.effect == effect), None)
             if other is not None:
-                self.effects[effect] = other
+                self.effects[effect] = other.ran
 
     def budget(self, server: Server) -> float:
         """Rule 4: sending time a ms that this front may ask of a cold server; infinite once it is warm."""
@@ -462,10 +466,7 @@
         heard = attempt.server.heard > attempt.sent  # else the cache may be cut off: ``watch`` sees to it
         return heard and min(self.fills.share, attempt.server.gate.share) >= CALM
 
-    def send(self, job: Job, server: Server | None, source: Server | None) -> None:
-        """One attempt."""
-        if server is None:
-            return
+    def send(self, job: Job, server: Server, source: Server | None) -> None:
         self.retries -= job.attempts > 0
         # To the end: fills that are called off are fetched again and feed a jam.  ``watch`` sees to silence.
         passes, left = job.kind.passes, job.deadline - self.now
@@ -473,12 +474,12 @@
         # what one of many fronts cannot.  Misses are refused.  Harm: where the cause has just passed.
         held_only = not passes and not self.behind.lets(self.random)
         source = source if passes or self.fills.lets(self.random, job.weight) else None
-        key = (job.id, job.attempts)
-        attempt = self.flying[key] = server.out[key] = Attempt(server, source, self.now, job, job.attempts)
+        key, ran = (job.id, job.attempts), (self.now, server.entry)
+        attempt = self.flying[key] = server.out[key] = Attempt(server, source, self.now, job, key[1], ran)
         job.out.append(attempt)
         job.attempts += 1
         if job.effect:
-            self.effects.setdefault(job.effect, attempt)
+            self.effects.setdefault(job.effect, attempt.ran)
         for asked, work in ((server, job.mean), (source, job.work)):
             if asked is not None:
                 self.within_budget(asked, work, take=True)
