Add the operators' door with its figures and a drain that can be ended

Checked: the configuration names a second address (admin_addr) that nothing in runtime/config.py read and nothing listened on, so calls and figures went unanswered; readiness (Service.is_ready) knew SIGTERM only.

Now net/operators.py answers check, vars, drain-on and drain-off, one call a connection, 16 callers at once and 3 s each. The figures come from the counters that Graphite and collectd get; requests that a front answers itself are counted too, and names that clients make up no longer take places in the table (Counters.answered). A drain closes connections where nothing is open on them, 0.6 s after the call, and a second later refuses what still comes; SIGTERM uses the same, where it waited before until no request at all was open and so never ended connections that stay busy.

Not taken: closing a connection with its last answer (at ClientLink.turned): a request that is already in the kernel's buffer would be reset; a look of its own comes after all that has arrived was read.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -98,7 +98,7 @@
         budget = Budget(1_000_000)
         self.pool = ShelfPool(reactor, limits, self.alarm.deadlines, core_ms, budget)
         settings = replace(SETTINGS, may_bypass=True, may_advise_wait=True, max_wait_advice_ms=500.0)
-        self.counters = Counters()
+        self.counters = Counters(classes={"films", "keyed"})
         router = Router(settings, 7)
         deadlines = self.alarm.deadlines
         self.engine = Engine(router, settings.max_attempts, core_ms, deadlines, self.pool, self.counters)
@@ -110,7 +110,9 @@
         self.ports.append(self.listen(lambda: SignedLink(self.clients, deadlines, core_ms, self.door)))
         self.ports.append(
             self.listen(
-                lambda: FastCgiLink(self.clients, deadlines, core_ms, self.engine, lambda: True, bytes, float)
+                lambda: FastCgiLink(
+                    self.clients, deadlines, core_ms, self.engine, lambda: True, bytes, print, float
+                )
             )
         )
         self.list_servers()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -11,7 +11,7 @@
 from tests.standins import BASE, CLIP, TRUST
 from tests.test_wire import PARAMS, asked
 from thornjunction import interface as api
-from thornjunction.core.ports import Call, Content, Refused, Reply, Served
+from thornjunction.core.ports import Answer, Call, Content, Refused, Reply, Served
 from thornjunction.memory.budget import Budget
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.client_link import ClientLink, ClientTable
@@ -32,6 +32,7 @@
 
     def __init__(self, capacity: int = 3, limit: int = 1_000_000) -> None:
         self.now, self.deadlines, self.replies = 1000.0, Deadlines(), []  # type: ignore[var-annotated]
+        self.turned_away: list[tuple[str, Answer]] = []
         self.table = ClientTable(capacity, Budget(limit))
         self.door = Door(self, {"films": FILMS}, BASE, TRUST, tokens.Nonces(), lambda: 5.0)
 
@@ -39,15 +40,17 @@
         self.replies.append(reply)
         return len(self.replies)
 
+    def turn_away(self, class_name: str, answer: Answer) -> None:
+        self.turned_away.append((class_name, answer))
+
     def abandon(self, number: int) -> None:
         pass
 
     def connect(self, kind: str) -> ClientLink:
         link: ClientLink
         if kind == "fastcgi":
-            link = FastCgiLink(
-                self.table, self.deadlines, lambda: self.now, self, lambda: True, bytes, lambda: 0.0
-            )
+            turns = (lambda: True, bytes, self.turn_away, lambda: 0.0)
+            link = FastCgiLink(self.table, self.deadlines, lambda: self.now, self, *turns)
         else:
             link = SignedLink(self.table, self.deadlines, lambda: self.now, self.door)
         link.makeConnection(Transport())
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -58,7 +58,7 @@
         self.sent: list[Order] = []
         self.given_up: list[int] = []
         self.answers: list[Answer] = []
-        self.deadlines, self.counters = Deadlines(), Counters()
+        self.deadlines, self.counters = Deadlines(), Counters(classes={"films"})
         self.engine = Engine(self, 2, lambda: self.now, self.deadlines, self, self.counters)
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -198,13 +198,17 @@
 def test_the_program_serves_check_reloads_and_drains(tmp_path: Path) -> None:
     with (
         socket.socket() as free,
+        socket.socket() as second,
         socket.create_server(("127.0.0.1", 0)) as channel,
         socket.create_server(("127.0.0.1", 0)) as moved,
     ):
         free.bind(("127.0.0.1", 0))
-        listen = address(free)
+        second.bind(("127.0.0.1", 0))
+        listen, door = address(free), address(second)
         free.close()
+        second.close()
         config = CONFIG | {"listen": listen, "channel": address(channel), "known": {"cursor": 3, "cmds": []}}
+        config["admin_addr"] = door
         path = tmp_path / "config.json"
         path.write_text(json.dumps(config))
         command = [sys.executable, "-m", "thornjunction"]
@@ -219,6 +223,9 @@
             while not records or records[-1].kind != fastcgi.END:
                 records += reader.feed(client.recv(4096))
             assert records[0].content == b"Status: 200\r\n\r\n"
+            assert call(door, "check") == "ACK\n" and call(door, "drain-on") == "ACK\n"
+            assert call(door, "check") == "NAK\n" and call(door, "drain-off") == "ACK\n"
+            assert "router.cfg_invalid=0\n" in call(door, "vars")
             path.write_text("{")
             program.send_signal(signal.SIGHUP)
             assert program.stderr is not None
@@ -228,6 +235,7 @@
             moved.settimeout(20)
             path.write_text(json.dumps(config | {"channel": address(moved)}))
             program.send_signal(signal.SIGHUP)
+            assert "router.cfg_invalid=1\n" in call(door, "vars")
             assert moved.accept()[0].recv(25) == b"GET /cmd/next?resume=3&bl"
             told.close()
             program.send_signal(signal.SIGTERM)
@@ -242,6 +250,13 @@
     return f"127.0.0.1:{of.getsockname()[1]}"
 
 
+def call(door: str, line: str) -> str:
+    """One call at the operators' door, and all of its reply."""
+    with connect(door) as caller:
+        caller.sendall(line.encode() + b"\n")
+        return b"".join(iter(lambda: caller.recv(4096), b"")).decode()
+
+
 def connect(address: str) -> socket.socket:
     host, _, port = address.partition(":")
     end = time.monotonic() + 30.0
--- a/thornjunction/core/counters.py
+++ b/thornjunction/core/counters.py
@@ -29,10 +29,13 @@
 
     counts: Counter[str] = field(default_factory=Counter)  # since the start
     latencies: dict[str, Latency] = field(default_factory=dict)  # since last taken
+    classes: set[str] = field(default_factory=set)  # of the settings, now and before
 
     def answered(self, class_name: str, answer: Answer | None, took_ms: float) -> None:
         how = "abandoned" if answer is None else type(answer).__name__.lower()
-        self._add(f"requests.{class_name}.{how}", took_ms)
+        # Guards the table against clients that make names up.
+        name = class_name if class_name in self.classes else "unknown"
+        self._add(f"requests.{name}.{how}", took_ms)
 
     def attempted(self, status: api.Status, took_ms: float) -> None:
         self._add(f"attempts.{status.value.replace(' ', '_')}", took_ms)
--- a/thornjunction/net/client_link.py
+++ b/thornjunction/net/client_link.py
@@ -152,6 +152,12 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
+    def leave(self) -> None:
+        """Close if nothing is under way.  A new connection, whose first request may be on its way, gets the
+        time that is owed to it."""
+        if self.asked and not (self.code or self.is_open() or self.held()):
+            self.finish("drained")
+
     def pauseProducing(self) -> None:  # noqa: N802
         """The client does not read: it may hold the memory of its answers for so long."""
         if self._paused:  # told anew with each write
--- a/thornjunction/net/front_fastcgi.py
+++ b/thornjunction/net/front_fastcgi.py
@@ -9,7 +9,7 @@
 from twisted.internet import protocol
 from twisted.python.failure import Failure
 
-from thornjunction.core.ports import Answer, Call, Reply
+from thornjunction.core.ports import Answer, Call, Failed, Refused, Reply
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.client_link import ClientLink, ClientTable
 from thornjunction.net.wire import ProtocolError, fastcgi, platform
@@ -47,10 +47,12 @@
         core: Core,
         ready: Callable[[], bool],
         busy: Callable[[], bytes],
+        turned_away: Callable[[str, Answer], None],
         spent_ms: Callable[[], float],
     ) -> None:
         super().__init__(table, deadlines, clock)
         self.core, self.ready, self.busy, self.spent_ms = core, ready, busy, spent_ms
+        self.turned_away = turned_away
         self.reader = fastcgi.RequestReader()
         self.pending: dict[int, Pending] = {}
         self.misuses = 0
@@ -102,10 +104,12 @@
             return self._write(ident, fastcgi.encode_answer(ident, said), asked.keep)
         busy = self.busy()
         if busy:
+            self._count(asked, Refused(0.0))
             return self._write(ident, fastcgi.encode_answer(ident, busy), asked.keep)
         try:
             call = platform.decode_call(asked.params, asked.body, self.spent_ms())
         except ProtocolError:
+            self._count(asked, Failed(timed_out=False))
             return self._misused(ident, asked.keep)
         self.misuses = 0
         pending = self.pending[ident] = Pending(asked.keep)
@@ -115,8 +119,13 @@
         if number is not None:
             pending.number = number
         elif self.pending.pop(ident, None) is pending:
+            self._count(asked, Refused(0.0))
             self._write(ident, fastcgi.encode_end(ident, fastcgi.OVERLOADED), asked.keep)
 
+    def _count(self, asked: fastcgi.Asked, answer: Answer) -> None:
+        """A request that never reached the core, which counts the others."""
+        self.turned_away(asked.params.get("SCRIPT_NAME", "").removeprefix(platform.ROOT), answer)
+
     def _misused(self, ident: int, keep: bool) -> None:
         """Guards the core's time against a client that sends the same again as soon as it is turned away."""
         self.misuses += 1
--- /dev/null
+++ b/thornjunction/net/operators.py
@@ -0,0 +1,76 @@
+"""The operators' door: an address of its own, where each connection carries one call and its reply."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from twisted.internet import protocol
+from twisted.python.failure import Failure
+
+from thornjunction.memory.deadlines import Deadline, Deadlines
+from thornjunction.net.endings import code_of, log_end
+from thornjunction.net.transport import Transport
+from thornjunction.net.wire import ProtocolError
+from thornjunction.net.wire.operators import LineReader, encode_word
+
+MOST_OPEN, SILENT_MS = 16, 3_000.0  # callers at once; for a whole call to come and its reply to be read
+
+
+class OperatorsDoor:
+    """The calls by name, and the callers that are connected, in the order in which they came."""
+
+    def __init__(
+        self,
+        calls: Mapping[str, Callable[[], bytes]],
+        deadlines: Deadlines,
+        clock: Callable[[], float],
+    ) -> None:
+        self.calls, self.deadlines, self.clock = calls, deadlines, clock
+        self.links: dict[OperatorsLink, None] = {}
+
+    def add(self, link: OperatorsLink) -> None:
+        # Guards real calls against callers that connect and say nothing: the one who waits longest goes.
+        if len(self.links) >= MOST_OPEN:
+            next(iter(self.links)).close("evicted")
+        self.links[link] = None
+
+    def reply(self, line: str) -> bytes:
+        call = self.calls.get(line)
+        return call() if call is not None else encode_word(False, "no such call")
+
+
+class OperatorsLink(protocol.Protocol):
+    """One caller."""
+
+    transport: Transport  # type: ignore[assignment]
+
+    def __init__(self, door: OperatorsDoor) -> None:
+        self.door, self.reader, self.code = door, LineReader(), ""
+        self.timer: Deadline | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.door.add(self)
+        when = self.door.clock() + SILENT_MS
+        self.timer = self.door.deadlines.add(when, lambda: self.close("silent"))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.code:
+            return
+        try:
+            line = self.reader.feed(data)
+        except ProtocolError as error:
+            return self.close(str(error))
+        if line is not None:
+            self.code = "answered"
+            self.transport.write(self.door.reply(line))
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
+        self.door.deadlines.cancel(self.timer)
+        self.door.links.pop(self, None)
+        log_end("operators", None, self.code or code_of(reason))
+
+    def close(self, code: str) -> None:
+        self.door.links.pop(self, None)
+        self.code = self.code or code
+        self.transport.abortConnection()
--- a/thornjunction/net/shelves.py
+++ b/thornjunction/net/shelves.py
@@ -137,6 +137,7 @@
         self.pool.deadlines.cancel(self.idle)
         self.idle = None
         self.out[ident] = sent
+        self.pool.relayed += sent.order is not None
         self.transport.write(data)
 
     def drop(self, ident: str) -> None:
@@ -199,6 +200,7 @@
         self.shelves: dict[str, Shelf] = {}
         self._where: dict[int, tuple[Shelf, str]] = {}  # by attempt: the shelf and the ident there
         self._probes = 0
+        self.relayed = 0  # attempts written whole, since the start
 
     def update(self, hosts: tuple[Host, ...], whole: bool) -> None:
         """Take in a change of the list.  A shelf at a new address, or a new process, gets new connections."""
--- a/thornjunction/rules.py
+++ b/thornjunction/rules.py
@@ -11,6 +11,7 @@
 import zlib
 from bisect import bisect_left, bisect_right, insort
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from thornjunction import interface as api
@@ -27,8 +28,8 @@
 RETRY_SHARE, RETRY_DEPTH = 0.5, 20.0  # further attempts for each request, and how many may be saved up
 EJECT_AFTER, EJECT_FIRST, EJECT_LAST = 5, 500.0, 4_000.0  # bad outcomes in a row; ms out
 ERRORS, ONE_RESET = 3, 10.0  # errors after which the request is at fault; ms in which resets are one
-COPIED, USUAL_STEP, USUAL_LEAST = 0.05, 0.02, 0.2  # of requests that get a copy; of the aim: step, least
-CALM = 0.8  # of gates, below which no copies are sent
+COPIED, CALM = 0.05, 0.8  # of requests that get a copy; of gates, below which none is sent
+USUAL_STEP, USUAL_LEAST = 0.02, 0.2  # of the aim
 SILENT, SILENT_OUT = 500.0, 2  # ms past the sending time without any answer, with so many attempts out
 GATE_CUT, GATE_RAISE, GATE_LEAST = 0.85, 0.04, 0.05  # a fifth late leaves it open, a half late one third
 CHOICES = 2  # caches by hash that a new request may go to: hot objects get a second copy (paper, section 3)
@@ -195,8 +196,7 @@
         self.sizes = {name: Mean(SLOW_GAIN) for name in self.classes}
         self.fetch, self.link, self.size = Mean(FAST_GAIN), Mean(FAST_GAIN), Mean(SLOW_GAIN)
         self.asked, self.load = 0.0, Mean(FAST_GAIN)  # sending time asked of this front: lately, and a ms
-        self.fills, self.behind = Gate(), Gate()  # what is filled, and what parents fetch from the origin
-        self.copies = Gate()
+        self.fills, self.behind, self.copies = Gate(), Gate(), Gate()  # behind: parents' own from the origin
         self.purges: dict[tuple[str, int], float] = {}
         self.effects: dict[str, Ran] = {}  # by idempotency key: the first attempt that may have run
         self.now = self.purged_all = -math.inf
@@ -246,6 +246,10 @@
         self.orders.clear()
         self.most = {role: max(self.most[role], len(listed)) for role, listed in self.by_role.items()}
 
+    def avoided(self, listed: Iterable[str]) -> int:
+        """How many of these get nothing now: they leave, or are out after failures."""
+        return sum(s is None or not s.open_to(self.now) for s in map(self.servers.get, listed))
+
     def on_purged(self, event: api.Purged) -> None:
         when = self.now - max(event.age_ms, 0.0)
         name = ("group", event.group) if event.key is None else ("key", event.key)
@@ -389,10 +393,8 @@
     def may_note(self, job: Job) -> bool:
         """Rule 2 across a client's tries: what may have run is known by its key while a try may come.
         Where no room is left for a new key, nothing is sent."""
-        oldest = next(iter(self.effects), "")
-        while oldest and self.now - self.effects[oldest][0] > EFFECT_KEPT:
-            del self.effects[oldest]
-            oldest = next(iter(self.effects), "")
+        while self.effects and self.now - next(iter(self.effects.values()))[0] > EFFECT_KEPT:
+            del self.effects[next(iter(self.effects))]
         return not job.effect or job.effect in self.effects or len(self.effects) < EFFECTS
 
     def settle(self, attempt: Attempt, status: api.Status) -> None:
@@ -400,8 +402,7 @@
         effect = attempt.job.effect
         if status in NEVER_RAN and self.effects.get(effect) is attempt.ran:
             del self.effects[effect]
-            other = next((out for out in self.flying.values() if out.job.effect == effect), None)
-            if other is not None:
+            if other := next((out for out in self.flying.values() if out.job.effect == effect), None):
                 self.effects[effect] = other.ran
 
     def budget(self, server: Server) -> float:
@@ -569,5 +570,4 @@
 
     def refusal(self, request: str) -> api.Refuse:
         """What refuses now refuses in a moment too: the client is asked to stay away as long as it will."""
-        advice = self.settings.max_wait_advice_ms if self.settings.may_advise_wait else 0.0
-        return api.Refuse(request, advice)
+        return api.Refuse(request, self.settings.max_wait_advice_ms * self.settings.may_advise_wait)
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -43,6 +43,7 @@
     roles: Mapping[str, api.Role]
     shelves: Limits
     longest_ms: float  # the longest that any client waits
+    operators: tuple[str, int] | None = None  # where the operators' door listens
 
 
 def load_config(environ: Mapping[str, str]) -> Config:
@@ -71,6 +72,7 @@
     sockets = int(limits.number("sockets", 1024))
     settings = _settings(params)
     allowed = params.below("allowed")
+    door = environ.get("PROXY_ADMIN_ADDR") or top.get("admin_addr", str, "")
     return Config(
         name=environ.get("PROXY_NAME") or top.get("name", str),
         listen=_address("listen", environ.get("PROXY_LISTEN") or top.get("listen", str)),
@@ -89,6 +91,7 @@
             connections=sockets // 3,
         ),
         longest_ms=max(kind.give_up_ms for kind in settings.classes),
+        operators=_address("admin_addr", door) if door else None,
     )
 
 
--- /dev/null
+++ b/thornjunction/runtime/drain.py
@@ -0,0 +1,40 @@
+"""Sends clients away: connections close where nothing is open on them; later all new work is refused."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from thornjunction.memory.deadlines import Deadline, Deadlines
+from thornjunction.net.client_link import ClientTable
+
+SWEEP_MS = 20.0  # between looks for idle connections
+REFUSE_MS = 1_000.0  # after the first look: a connection with always something open would never end
+
+
+class Drain:
+    """Off until it is started; may be stopped again."""
+
+    def __init__(self, clients: ClientTable, deadlines: Deadlines, clock: Callable[[], float]) -> None:
+        self.clients, self.deadlines, self.clock = clients, deadlines, clock
+        self.active = self.refusing = False
+        self._timer: Deadline | None = None
+        self._refuse_at = 0.0
+
+    def start(self, wait_ms: float) -> None:
+        """Connections are left alone for so long: new ones come until all know that we are leaving."""
+        if self.active:
+            self.stop()
+        when = self.clock() + wait_ms
+        self.active, self._refuse_at = True, when + REFUSE_MS
+        self._timer = self.deadlines.add(when, self._sweep)
+
+    def stop(self) -> None:
+        self.deadlines.cancel(self._timer)
+        self.active = self.refusing = False
+
+    def _sweep(self) -> None:
+        now = self.clock()
+        self.refusing = now >= self._refuse_at
+        for link in self.clients:
+            link.leave()
+        self._timer = self.deadlines.add(now + SWEEP_MS, self._sweep)
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -6,31 +6,39 @@
 import random
 import signal
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet import protocol
+
 from thornjunction import interface as api
 from thornjunction.core.admission import TICK_MS, Admission
 from thornjunction.core.counters import Counters
 from thornjunction.core.engine import Engine
-from thornjunction.core.ports import Refused
+from thornjunction.core.ports import Answer, Refused
 from thornjunction.memory.budget import Budget
 from thornjunction.net.alarm import Alarm, core_ms, unix_to_core
 from thornjunction.net.channel import Channel
-from thornjunction.net.client_link import ClientLink, ClientTable
+from thornjunction.net.client_link import ClientTable
 from thornjunction.net.front_fastcgi import FastCgiLink
 from thornjunction.net.front_signed import Door, SignedLink
 from thornjunction.net.metrics import Metrics
+from thornjunction.net.operators import OperatorsDoor, OperatorsLink
 from thornjunction.net.shelves import ShelfPool
 from thornjunction.net.transport import Building, server_endpoint
 from thornjunction.net.wire import platform
 from thornjunction.net.wire.commands import Command, Host, ListChange
+from thornjunction.net.wire.operators import encode_figures, encode_word
 from thornjunction.rules import Router
 from thornjunction.runtime.config import Config, ConfigError, Extras, MetricsTargets, SignedFront
+from thornjunction.runtime.drain import Drain
+from thornjunction.runtime.figures import figures_of
 from thornjunction.signing.tokens import Nonces
 
 ACCEPT_MS = 800.0  # after SIGTERM: new connections come for 400 ms, requests on open ones for 200 ms more
 LASTING = "name", "listen", "sockets", "settings", "roles", "shelves"  # what a reload doesn't change
+AWAY_MS = 600.0  # after the operators' call: new connections come for 0.2 s past the first no
 LOOK_MS, FLUSH_MS = 20.0, 500.0  # between looks whether all is answered; for the last bytes to go out
 
 log = logging.getLogger(__name__)
@@ -47,19 +55,29 @@
         deadlines = self.alarm.deadlines
         budget = Budget(config.buffer_bytes)
         self.pool = ShelfPool(reactor, config.shelves, deadlines, core_ms, budget)
-        router = Router(config.settings, config.seed)
+        self.router = Router(config.settings, config.seed)
         attempts = config.settings.max_attempts
-        self.engine = Engine(router, attempts, core_ms, deadlines, self.pool, counters)
+        self.engine = Engine(self.router, attempts, core_ms, deadlines, self.pool, counters)
+        self.counters, self.files = counters, Counter[str]()
+        counters.classes |= {kind.name for kind in config.settings.classes}
         self.pool.ends = self.engine
         self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take)
         self.clients = ClientTable(max(config.sockets // 3, 1), budget)
-        self.ready = self.draining = False
+        self.drain = Drain(self.clients, deadlines, core_ms)
+        self.ready = self.ending = False
         self.admission = Admission(random.Random(config.seed).random, config.cores)
         wait_ms = config.settings.max_wait_advice_ms if config.settings.may_advise_wait else 0.0
         self._refusal = platform.encode_cgi(Refused(wait_ms))
         self.door = self._door(extras.signed) if extras.signed else None
         self.metrics = self._metrics(extras.metrics, counters) if extras.metrics else None
         self.signed = extras.signed
+        calls = {
+            "check": self._check,
+            "vars": self._figures,
+            "drain-on": self._drain_on,
+            "drain-off": self._drain_off,
+        }
+        self.operators = OperatorsDoor(calls, deadlines, core_ms)
         self._ports: list[Any] = []
 
     def start(self) -> None:
@@ -71,6 +89,8 @@
         self._watch(core_ms())
         host, port = self.config.listen
         self.listen(host, port, self._platform_link)
+        if self.config.operators is not None:
+            self.listen(*self.config.operators, self._operators_link)
         if self.signed is not None:
             self.listen(*self.signed.listen, self._signed_link)
         if self.metrics is not None:
@@ -84,9 +104,14 @@
 
     def busy(self) -> bytes:
         """What to answer where the core is to be spared; empty where it is not."""
-        return b"" if self.admission.admits(len(self.engine.requests)) else self._refusal
+        admitted = not self.drain.refusing and self.admission.admits(len(self.engine.requests))
+        return b"" if admitted else self._refusal
+
+    def turned_away(self, class_name: str, answer: Answer) -> None:
+        """Counts a request that a front answered itself."""
+        self.counters.answered(class_name, answer, 0.0)
 
-    def listen(self, host: str, port: int, build: Callable[[], ClientLink]) -> None:
+    def listen(self, host: str, port: int, build: Callable[[], protocol.Protocol]) -> None:
         """Open a front; a port that can't be had ends the program with a message."""
         endpoint = server_endpoint(self.reactor, (host, port))
         endpoint.listen(Building(build)).addCallbacks(self._ports.append, self._no_port)
@@ -97,7 +122,19 @@
 
     def _platform_link(self) -> FastCgiLink:
         deadlines, spent = self.alarm.deadlines, self.admission.spent_ms
-        return FastCgiLink(self.clients, deadlines, core_ms, self.engine, self.is_ready, self.busy, spent)
+        return FastCgiLink(
+            self.clients,
+            deadlines,
+            core_ms,
+            self.engine,
+            self.is_ready,
+            self.busy,
+            self.turned_away,
+            spent,
+        )
+
+    def _operators_link(self) -> OperatorsLink:
+        return OperatorsLink(self.operators)
 
     def _signed_link(self) -> SignedLink:
         assert self.door is not None
@@ -117,7 +154,26 @@
         return metrics
 
     def is_ready(self) -> bool:
-        return self.ready and not self.draining
+        return self.ready and not self.drain.active
+
+    def _check(self) -> bytes:
+        return encode_word(self.is_ready())
+
+    def _figures(self) -> bytes:
+        return encode_figures(figures_of(self.counters, self.engine, self.pool, self.router, self.files))
+
+    def _drain_on(self) -> bytes:
+        if not self.drain.active:
+            log.info("drain-on")
+            self.drain.start(AWAY_MS)
+        return encode_word(True)
+
+    def _drain_off(self) -> bytes:
+        if self.ending:
+            return encode_word(False, "ending")
+        log.info("drain-off")
+        self.drain.stop()
+        return encode_word(True)
 
     def take(self, command: Command) -> None:
         """An event of the command channel, on the core's clock."""
@@ -146,18 +202,21 @@
         try:
             fresh = self.load()
         except ConfigError as error:
+            self.files["invalid"] += 1
             return log.error("reload refused, nothing changed: %s", error)
+        self.files["accepted"] += 1
         told = [name for name in LASTING if getattr(fresh, name) != getattr(self.config, name)]
         log.info("reloaded channel=%s:%d need-restart=%s", *fresh.channel, ",".join(told) or "none")
         self.channel.move(fresh.channel)
 
-    def drain(self) -> None:
+    def end(self) -> None:
         """SIGTERM: accept through the stated window, answer all that was taken, then exit 0."""
-        if self.draining:
+        if self.ending:
             return
-        self.draining = True
+        self.ending = True
         log.info("draining")
         now, deadlines = core_ms(), self.alarm.deadlines
+        self.drain.start(ACCEPT_MS)
         self._last = now + ACCEPT_MS + self.config.longest_ms
         deadlines.add(now + ACCEPT_MS, self._close_ports)
 
@@ -167,7 +226,7 @@
         self._look()
 
     def _look(self) -> None:
-        if len(self.engine.requests) and core_ms() < self._last:
+        if (len(self.engine.requests) or len(self.clients)) and core_ms() < self._last:
             self.alarm.deadlines.add(core_ms() + LOOK_MS, self._look)
             return
         self.channel.stopped = True
@@ -185,8 +244,8 @@
 
     def run(self) -> None:
         """Until the drain ends."""
-        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.drain))
-        signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.drain))
+        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.end))
+        signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.end))
         signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
         self.reactor.callWhenRunning(self.start)
         self.reactor.run(installSignalHandlers=False)
