Replace the process on the platform's listening socket without a lost request

Log: "can't listen: Address already in use", at the very first start: the platform holds the clients' socket and hands it down as PROXY_SOCKET_FD, which nothing read; Service._no_port then ended the program with 0 (now 1).

Cause 1: Service._look cut off what was still open after the longest deadline (2.4 s here), counted from SIGTERM, though connections that clients keep bring requests long after. Cause 2, once that was gone: SIGKILL at 3.1 s found requests that had come a second or two after SIGTERM and had most of their time left. Engine.ends_at now bounds the time of what comes while the process ends; the module answers it before. - Refusing 1 s after SIGTERM turned away 6 to 11 in 100 for a while: clients try again on the same connection. At 1.9 s few connections are left.

Also: a process that has a successor (a mark in $TMPDIR tells) stops accepting at once and says yes to /check to the end; one that starts asks the command channel what stands now before it serves, as the `known` of its file may be long out of date; a close ends our side first and reads what crosses it, 128 KB and 10 s at most.

Not taken: handing connections over between the processes. Idle ones are as well closed, and busy ones would need two writers on one connection.

--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,92 @@
+"""Two processes on one listening socket: who has a successor leaves new connections to it."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.test_core import CONFIG
+from tests.test_program import ROOT, address, call, connect
+from tests.test_wire import asked
+from thornjunction.net.wire import fastcgi
+from thornjunction.runtime.handover import Handover
+
+
+def test_the_last_to_get_ready_has_no_successor(tmp_path: Path) -> None:
+    first, second = (Handover(str(tmp_path), "n1") for _ in range(2))
+    assert not first.succeeded()
+    first.announce()
+    assert not first.succeeded()
+    second.announce()
+    assert first.succeeded() and not second.succeeded()
+    assert [path.name for path in tmp_path.iterdir()] == ["thornjunction-n1.serving"]
+
+
+def test_without_a_folder_that_both_see_nobody_is_succeeded(tmp_path: Path) -> None:
+    for folder in ("", str(tmp_path / "none")):
+        alone = Handover(folder, "n1")
+        alone.announce()
+        assert not alone.succeeded()
+
+
+def check(client: socket.socket) -> bytes:
+    """What /check says on this connection."""
+    client.sendall(asked(1, {"SCRIPT_NAME": "/check"}, b""))
+    records, reader = [], fastcgi.RecordReader()
+    while not records or records[-1].kind != fastcgi.END:
+        records += reader.feed(client.recv(4096))
+    return records[0].content
+
+
+class Program:
+    """The program on a listening socket that it inherits, with a door of its own."""
+
+    def __init__(self, folder: Path, shared: socket.socket, config: dict[str, object]) -> None:
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.door = address(free)
+        path = folder / "config.json"
+        path.write_text(json.dumps(config))
+        env = os.environ | {"PROXY_CONFIG": str(path), "PROXY_ADMIN_ADDR": self.door, "TMPDIR": str(folder)}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "thornjunction"],
+            env=env | {"PROXY_SOCKET_FD": str(shared.fileno())},
+            cwd=ROOT,
+            pass_fds=[shared.fileno()],
+            stderr=subprocess.DEVNULL,
+        )
+        connect(self.door).close()
+        while call(self.door, "check") != "ACK\n":  # the command channel never answers here
+            pass
+
+
+def test_a_process_is_replaced_on_its_listening_socket(tmp_path: Path) -> None:
+    """The old one exits, the socket stays, and a connection that it still holds hears no 'no'."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as shared,
+        socket.create_server(("127.0.0.1", 0)) as channel,
+    ):
+        config = CONFIG | {"listen": address(shared), "channel": address(channel)}
+        old = Program(tmp_path, shared, config)
+        programs = [old.process]
+        try:
+            kept = connect(address(shared))
+            assert check(kept) == b"Status: 200\r\n\r\n"
+            new = Program(tmp_path, shared, config)
+            programs.append(new.process)
+            old.process.send_signal(signal.SIGTERM)
+            assert kept.recv(1) == b""
+            kept.close()
+            assert old.process.wait(20) == 0
+            with connect(address(shared)) as client:
+                assert check(client) == b"Status: 200\r\n\r\n"
+            assert new.process.poll() is None
+        finally:
+            for process in programs:
+                process.kill()
+                process.wait()
--- a/thornjunction/__main__.py
+++ b/thornjunction/__main__.py
@@ -12,12 +12,13 @@
 from thornjunction.runtime.config import ConfigError, load_config, load_extras
 
 EXTRAS = Path(__file__).resolve().parent.parent / "deploy" / "extras.toml"
+LOG_FORMAT = "%(asctime)s %(process)d %(name)s %(message)s"  # two processes may write to one log
 GC_THRESHOLDS = 20_000, 50, 100  # few cycles are made; the default looks for them several times a millisecond
 
 
 def main() -> int:
     """Serve until SIGTERM; the exit code."""
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(name)s %(message)s")
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format=LOG_FORMAT)
     try:
         config = load_config(os.environ)
         extras = load_extras(EXTRAS)
@@ -30,8 +31,7 @@
 
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    Service(config, extras, reactor, Counters(), lambda: load_config(os.environ)).run()
-    return 0
+    return Service(config, extras, reactor, Counters(), lambda: load_config(os.environ)).run()
 
 
 if __name__ == "__main__":
--- a/thornjunction/core/engine.py
+++ b/thornjunction/core/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -77,15 +78,18 @@
         self._numbers: dict[tuple[str, int], int] = {}  # by request and attempt: the attempt's slot
         self._events: deque[api.Event] = deque()
         self._busy = False
+        self.ends_at = math.inf  # when this process has to be done
 
     def open(self, call: Call, reply: Reply) -> int | None:
         """Take a request on; its number, or None where no slot is free and nothing was taken."""
         now = self.clock()
         if self.requests.full or len(self.deadlines) + 8 > self.deadlines.limit:
             return None
+        # Guards what comes while the process ends: its answer is owed before the end, not later.
+        left_ms = min(call.left_ms, max(self.ends_at - now, 0.0))
         slot: list[int] = []
         # Guards against a decision that never comes, after an error in the module: the client gets an answer.
-        backstop = self.deadlines.add(now + call.left_ms, lambda: self._overdue(slot[0]))
+        backstop = self.deadlines.add(now + left_ms, lambda: self._overdue(slot[0]))
         number = self.requests.add(Open(call, reply, now, backstop))
         assert number is not None
         slot.append(number)
@@ -94,7 +98,7 @@
                 request=str(number),
                 class_name=call.class_name,
                 key=int(call.object_id, 16),
-                left_ms=call.left_ms,
+                left_ms=left_ms,
                 part=call.part,
                 group=call.group,
                 size_kb=call.size_kb,
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -16,6 +16,7 @@
 from thornjunction.net.wire.commands import Command, Commands, decode_commands
 
 BLOCK_MS, SILENT_MS = 2000, 1500.0  # of one poll; how much later its answer may come
+AT_ONCE_MS = 1  # of the first poll: it asks what stands now
 DIAL_MS, AGAIN_MS = 400.0, 50.0  # for a connection; before the next try where one failed
 MAX_ANSWER = 4_000_000  # bytes
 
@@ -37,7 +38,8 @@
 
     def poll(self) -> None:
         channel = self.channel
-        target = f"/cmd/next?resume={channel.cursor}&block={BLOCK_MS}"
+        block = BLOCK_MS if channel.current else AT_ONCE_MS
+        target = f"/cmd/next?resume={channel.cursor}&block={block}"
         self.transport.write(http1.encode_get(target, channel.host))
         # Guards against a cut path: a poll that is not answered says nothing.
         when = channel.clock() + BLOCK_MS + SILENT_MS
@@ -55,7 +57,7 @@
         self.polls += 1
         if response.status != 200:
             raise ProtocolError(f"status-{response.status}")
-        self.channel.apply(decode_commands(response.body))
+        self.channel.answered(decode_commands(response.body))
         if response.keep:
             self.poll()
         else:
@@ -82,13 +84,21 @@
         deadlines: Deadlines,
         clock: Callable[[], float],
         take: Callable[[Command], None],
+        on_current: Callable[[], None],
     ) -> None:
         self.reactor, self.address, self.deadlines, self.clock = reactor, address, deadlines, clock
         self.take, self.cursor, self.host = take, 0, f"{address[0]}:{address[1]}"
+        self.on_current, self.current = on_current, False  # all that stood at the start has been taken in
         self.stopped = False
         self.link: ChannelLink | None = None
         self._dialling: Deferred[Any] | None = None
 
+    def answered(self, commands: Commands) -> None:
+        self.apply(commands)
+        if not self.current:
+            self.current = True
+            self.on_current()
+
     def apply(self, commands: Commands) -> None:
         """Take in what is new; an event that has come before is passed over."""
         for event in commands.events:
--- a/thornjunction/net/client_link.py
+++ b/thornjunction/net/client_link.py
@@ -17,6 +17,8 @@
 
 LOOK_MS = 500.0  # between looks at a connection's times
 SILENT_MS = 2_000.0  # for the first whole request, and for the rest of one that has begun: 3 s are owed
+LINGER_MS = 10_000.0  # for the client to read what was written, and to close its side
+MAX_CROSSED = 131_072  # bytes that may cross our close: two of the largest requests
 IDLE_MS, STALL_MS = 30_000.0, 10_000.0  # without a request; with a client that does not read
 
 
@@ -76,6 +78,8 @@
         self._held = 0  # bytes that the budget knows of
         self._watch: Deadline | None = None
         self._stall: Deadline | None = None
+        self._crossed = 0
+        self._linger: Deadline | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         self._since = self.clock()
@@ -89,10 +93,11 @@
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         self.deadlines.cancel(self._watch)
         self.deadlines.cancel(self._stall)
+        self.deadlines.cancel(self._linger)
         self.code = self.code or code_of(reason)
         self.table.remove(self)
         self._hold(0)
-        log_end(self.kind, self.slot, self.code, answered=self.answered)
+        log_end(self.kind, self.slot, self.code, answered=self.answered, owed=self.is_open())
 
     def is_open(self) -> bool:
         """Whether a request of this connection is owed its answer."""
@@ -147,10 +152,21 @@
         self.transport.abortConnection()
 
     def finish(self, code: str) -> None:
-        """Close after what was written has gone out."""
+        """Close after what was written has gone out, our side first.  A request that crosses the close is
+        read and passed over: unread, it would reset the connection, and take along an answer on its way."""
+        if self._linger is not None:
+            return
         self.code = self.code or code
+        self._linger = self.deadlines.add(self.clock() + LINGER_MS, lambda: self.close(code))
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self.transport.loseWriteConnection()
+        self.table.mark(self, False)
+
+    def pass_over(self, data: bytes) -> None:
+        """What comes behind our close.  Guards the core against a client that goes on sending."""
+        self._crossed += len(data)
+        if self._crossed > MAX_CROSSED:
+            self.close(self.code)
 
     def leave(self) -> None:
         """Close if nothing is under way.  A new connection, whose first request may be on its way, gets the
--- a/thornjunction/net/front_fastcgi.py
+++ b/thornjunction/net/front_fastcgi.py
@@ -64,6 +64,8 @@
         return self.reader.held
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.code:
+            return self.pass_over(data)
         try:
             messages = self.reader.feed(data)
         except ProtocolError as error:
--- a/thornjunction/net/front_signed.py
+++ b/thornjunction/net/front_signed.py
@@ -60,7 +60,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.code:
-            return
+            return self.pass_over(data)
         before = len(self.waiting)
         try:
             self.waiting.extend(self.reader.feed(data))
--- a/thornjunction/net/transport.py
+++ b/thornjunction/net/transport.py
@@ -21,6 +21,8 @@
 
     def loseConnection(self) -> None: ...  # noqa: N802
 
+    def loseWriteConnection(self) -> None: ...  # noqa: N802
+
     def abortConnection(self) -> None: ...  # noqa: N802
 
     def setTcpNoDelay(self, enabled: bool) -> None: ...  # noqa: N802
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -44,6 +44,8 @@
     shelves: Limits
     longest_ms: float  # the longest that any client waits
     operators: tuple[str, int] | None = None  # where the operators' door listens
+    socket_fd: int | None = None  # the clients' listening socket, where the platform holds it
+    shared_folder: str = ""  # what the process before this one could leave for it, where it does
 
 
 def load_config(environ: Mapping[str, str]) -> Config:
@@ -92,6 +94,8 @@
         ),
         longest_ms=max(kind.give_up_ms for kind in settings.classes),
         operators=_address("admin_addr", door) if door else None,
+        socket_fd=_descriptor("PROXY_SOCKET_FD", environ),
+        shared_folder=environ.get("TMPDIR", "") if environ.get("PROXY_SOCKET_FD") else "",
     )
 
 
@@ -110,6 +114,13 @@
         raise ConfigError(f"{key}: {error}") from error
 
 
+def _descriptor(key: str, environ: Mapping[str, str]) -> int | None:
+    text = environ.get(key, "")
+    if text and not (text.isdigit() and text.isascii()):
+        raise ConfigError(f"{key}: not a descriptor: {text[:80]!r}")
+    return int(text) if text else None
+
+
 def _seed(text: str) -> int:
     try:
         return int(text, 16)
--- a/thornjunction/runtime/drain.py
+++ b/thornjunction/runtime/drain.py
@@ -7,8 +7,9 @@
 from thornjunction.memory.deadlines import Deadline, Deadlines
 from thornjunction.net.client_link import ClientTable
 
-SWEEP_MS = 20.0  # between looks for idle connections
-REFUSE_MS = 1_000.0  # after the first look: a connection with always something open would never end
+SWEEP_MS = 10.0  # between looks for idle connections
+REFUSE_MS = 1_900.0  # a connection with always something open would never end; 4 s after an operators' call
+# none may hold a request of the last 2 s.  Sooner costs clients: they try again on the same connection.
 
 
 class Drain:
@@ -24,9 +25,9 @@
         """Connections are left alone for so long: new ones come until all know that we are leaving."""
         if self.active:
             self.stop()
-        when = self.clock() + wait_ms
-        self.active, self._refuse_at = True, when + REFUSE_MS
-        self._timer = self.deadlines.add(when, self._sweep)
+        now = self.clock()
+        self.active, self._refuse_at = True, now + REFUSE_MS
+        self._timer = self.deadlines.add(now + wait_ms, self._sweep)
 
     def stop(self) -> None:
         self.deadlines.cancel(self._timer)
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+import os
 import random
 import signal
 import time
 from collections import Counter
 from collections.abc import Callable
+from socket import AF_INET
 from typing import Any
 
 from twisted.internet import protocol
@@ -34,10 +36,14 @@
 from thornjunction.runtime.config import Config, ConfigError, Extras, MetricsTargets, SignedFront
 from thornjunction.runtime.drain import Drain
 from thornjunction.runtime.figures import figures_of
+from thornjunction.runtime.handover import Handover
 from thornjunction.signing.tokens import Nonces
 
 ACCEPT_MS = 800.0  # after SIGTERM: new connections come for 400 ms, requests on open ones for 200 ms more
+KILL_MS, LONGEST_MS = 700.0, 3_000.0  # SIGKILL: so long after the longest deadline, which counts so much
+EARLY_MS = 80.0  # before it: the last answers; and again, the last connections
 LASTING = "name", "listen", "sockets", "settings", "roles", "shelves"  # what a reload doesn't change
+CATCH_UP_MS = 500.0  # for the command channel's first answer; then what is known has to do
 AWAY_MS = 600.0  # after the operators' call: new connections come for 0.2 s past the first no
 LOOK_MS, FLUSH_MS = 20.0, 500.0  # between looks whether all is answered; for the last bytes to go out
 
@@ -61,10 +67,11 @@
         self.counters, self.files = counters, Counter[str]()
         counters.classes |= {kind.name for kind in config.settings.classes}
         self.pool.ends = self.engine
-        self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take)
+        self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take, self._serve)
         self.clients = ClientTable(max(config.sockets // 3, 1), budget)
         self.drain = Drain(self.clients, deadlines, core_ms)
-        self.ready = self.ending = False
+        self.handover = Handover(config.shared_folder, config.name)
+        self.ready = self.ending = self.succeeded = self.faulty = False
         self.admission = Admission(random.Random(config.seed).random, config.cores)
         wait_ms = config.settings.max_wait_advice_ms if config.settings.may_advise_wait else 0.0
         self._refusal = platform.encode_cgi(Refused(wait_ms))
@@ -81,16 +88,25 @@
         self._ports: list[Any] = []
 
     def start(self) -> None:
-        """Replay what is known before anything listens; then serve."""
+        """Replay what is known, and hear what is new, before clients are served."""
         log.info("start name=%s sockets=%d %s", self.config.name, self.config.sockets, self.config.shelves)
         self.channel.apply(self.config.known)
-        self.ready = True
-        self.channel.start()
-        self._watch(core_ms())
-        host, port = self.config.listen
-        self.listen(host, port, self._platform_link)
         if self.config.operators is not None:
             self.listen(*self.config.operators, self._operators_link)
+        self.channel.start()
+        # Guards a process that replaces another against the list of its start, which may be long out of date.
+        self.alarm.deadlines.add(core_ms() + CATCH_UP_MS, self._serve)
+
+    def _serve(self) -> None:
+        if self.ready:
+            return
+        self.ready = True
+        self._watch(core_ms())
+        if self.config.socket_fd is not None:
+            self._adopt(self.config.socket_fd)
+        else:
+            self.listen(*self.config.listen, self._platform_link)
+        self.handover.announce()
         if self.signed is not None:
             self.listen(*self.signed.listen, self._signed_link)
         if self.metrics is not None:
@@ -114,10 +130,22 @@
     def listen(self, host: str, port: int, build: Callable[[], protocol.Protocol]) -> None:
         """Open a front; a port that can't be had ends the program with a message."""
         endpoint = server_endpoint(self.reactor, (host, port))
-        endpoint.listen(Building(build)).addCallbacks(self._ports.append, self._no_port)
+        endpoint.listen(Building(build)).addCallbacks(
+            self._ports.append, lambda failure: self._no_port(failure.value)
+        )
 
-    def _no_port(self, failure: Any) -> None:
-        log.error("can't listen: %s", failure.getErrorMessage())
+    def _adopt(self, fd: int) -> None:
+        """Accept on the platform's own listening socket, which other processes hold too."""
+        try:
+            os.set_blocking(fd, False)  # else the accept behind the last connection would stop the process
+            self._ports.append(self.reactor.adoptStreamPort(fd, AF_INET, Building(self._platform_link)))
+            os.close(fd)  # the port has one of its own
+        except OSError as error:
+            self._no_port(error)
+
+    def _no_port(self, error: object) -> None:
+        log.error("can't listen: %s", error)
+        self.faulty = True
         self.reactor.stop()
 
     def _platform_link(self) -> FastCgiLink:
@@ -154,7 +182,8 @@
         return metrics
 
     def is_ready(self) -> bool:
-        return self.ready and not self.drain.active
+        """A process that has a successor says yes to the end: the two are one request router."""
+        return self.ready and (self.succeeded or not self.drain.active)
 
     def _check(self) -> bytes:
         return encode_word(self.is_ready())
@@ -213,12 +242,14 @@
         """SIGTERM: accept through the stated window, answer all that was taken, then exit 0."""
         if self.ending:
             return
-        self.ending = True
-        log.info("draining")
+        self.ending, self.succeeded = True, self.handover.succeeded()
+        wait_ms = 0.0 if self.succeeded else ACCEPT_MS
+        log.info("draining succeeded=%s", self.succeeded)
         now, deadlines = core_ms(), self.alarm.deadlines
-        self.drain.start(ACCEPT_MS)
-        self._last = now + ACCEPT_MS + self.config.longest_ms
-        deadlines.add(now + ACCEPT_MS, self._close_ports)
+        self.drain.start(wait_ms)
+        self._last = now + min(self.config.longest_ms, LONGEST_MS) + KILL_MS - EARLY_MS
+        self.engine.ends_at = self._last - EARLY_MS
+        deadlines.add(now + wait_ms, self._close_ports)
 
     def _close_ports(self) -> None:
         for port in self._ports:
@@ -242,10 +273,11 @@
         log.info("drained")
         self.reactor.stop()
 
-    def run(self) -> None:
-        """Until the drain ends."""
+    def run(self) -> int:
+        """Until the drain ends; the exit code."""
         signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.end))
         signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.end))
         signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
         self.reactor.callWhenRunning(self.start)
         self.reactor.run(installSignalHandlers=False)
+        return int(self.faulty)
