Take settings from the file at SIGHUP; open requests keep those they came under

The module takes settings as an event (Router.adopt). What hangs on the settings of an open request goes with it: its class, its attempts (Job.most, Open.max_attempts), the usual share of its class. A file that lacks a key of the one before it, or has a deadline or attempts that are no positive number, or two classes of one name, changes nothing.

Not taken: a second Router for the new settings; it would start without what was learnt of every shelf.

--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,95 @@
+"""Settings that change while requests are open: these keep the old ones; a faulty file changes nothing."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from tests.helpers import FILMS, KEYED, ORDER, SETTINGS, Bench, fetch_of, finals, only
+from tests.test_core import CONFIG, Script
+from thornjunction import interface as api
+from thornjunction.runtime.config import ConfigError, check_complete, parse_config
+
+
+def test_an_open_request_keeps_its_attempts_and_the_next_has_the_new_ones() -> None:
+    bench = Bench(max_attempts=3)
+    before = fetch_of(bench.ask())
+    bench.give(replace(SETTINGS, max_attempts=1))
+    after = fetch_of(bench.ask(key=2))
+    assert only(bench.answer(before, api.Status.SKIPPED), api.Fetch)
+    assert finals(bench.answer(after, api.Status.SKIPPED))
+
+
+def test_the_core_counts_attempts_as_the_settings_were_when_the_request_came() -> None:
+    script = Script()
+    number = script.open()
+    script.engine.max_attempts = 1
+    for sent in (2, 2):  # the second attempt, and no third
+        script.steps = [[api.Fetch(str(number), "s", 500.0, "s")]]
+        script.engine.feed(api.TimerFired(1))
+        assert len(script.sent) == sent
+    number = script.open()
+    script.steps = [[api.Fetch(str(number), "s", 500.0, "s")]]
+    script.engine.feed(api.TimerFired(1))
+    assert len(script.sent) == 3
+
+
+def test_classes_come_and_go_and_may_change_their_effect() -> None:
+    bench = Bench(classes=(FILMS, KEYED))
+    assert finals(bench.ask(class_name="order"))
+    film = fetch_of(bench.ask())
+    bench.give(replace(SETTINGS, classes=(replace(KEYED, safety=api.Safety.UNSAFE, name="keyed"), ORDER)))
+    assert finals(bench.ask()) and fetch_of(bench.ask(class_name="order"))
+    unsafe = fetch_of(bench.ask(class_name="keyed", idempotency_key="k"))
+    assert finals(bench.answer(unsafe, api.Status.TIMEOUT)) == [api.Fail(str(bench.asked))]
+    assert not finals(bench.answer(film, api.Status.TIMEOUT))  # open under the class that is gone
+    assert not finals(bench.answer(bench.sent[film.request][-1]))
+    assert set(bench.router.usual) == set(bench.router.sizes) == {"keyed", "order"}
+
+
+def config_with(**changed: Any) -> bytes:
+    """The configuration with changes, by the path of a key; None takes the key away."""
+    told = json.loads(json.dumps(CONFIG))
+    for path, value in changed.items():
+        *way, last = path.split("__")
+        place: Any = told
+        for step in way:
+            place = place[int(step) if step.isdigit() else step]
+        if value is None:
+            del place[last]
+        else:
+            place[last] = value
+    return json.dumps(told).encode()
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        ("settings", None, "settings"),
+        ("channel", None, "channel"),
+        ("settings__allowed__cancel", None, "settings.allowed.cancel"),
+        ("settings__classes__0__giveUpMs", None, "giveUpMs"),
+        ("settings__classes__0__giveUpMs", -5, "giveUpMs"),
+        ("settings__classes__0__giveUpMs", 0, "giveUpMs"),
+        ("settings__classes__0__giveUpMs", "soon", "giveUpMs"),
+        ("settings__classes__0__giveUpMs", float("nan"), "giveUpMs"),
+        ("settings__allowed__attemptsCap", 0, "attemptsCap"),
+        ("settings__allowed__attemptsCap", True, "attemptsCap"),
+        ("settings__classes__0__name", "writes", "classes"),
+    ],
+)
+def test_a_broken_file_is_named_and_nothing_is_taken_from_it(path: str, value: Any, named: str) -> None:
+    running = parse_config(config_with(), {})
+    with pytest.raises(ConfigError, match=named):
+        check_complete(running, parse_config(config_with(**{path: value}), {}))
+
+
+def test_a_whole_file_is_taken() -> None:
+    running = parse_config(config_with(), {})
+    fresh = parse_config(config_with(settings__allowed__attemptsCap=2, channel="127.0.0.1:5"), {})
+    check_complete(running, fresh)
+    assert fresh.settings.max_attempts == 2
+    assert parse_config(config_with(settings__allowed__attemptsCap=0.5), {}).settings.max_attempts == 1
--- a/thornjunction/core/engine.py
+++ b/thornjunction/core/engine.py
@@ -45,6 +45,7 @@
     reply: Reply
     since: float
     backstop: Deadline
+    max_attempts: int  # as the settings were when it came
     attempts: int = 0
 
 
@@ -90,7 +91,7 @@
         slot: list[int] = []
         # Guards against a decision that never comes, after an error in the module: the client gets an answer.
         backstop = self.deadlines.add(now + left_ms, lambda: self._overdue(slot[0]))
-        number = self.requests.add(Open(call, reply, now, backstop))
+        number = self.requests.add(Open(call, reply, now, backstop, self.max_attempts))
         assert number is not None
         slot.append(number)
         self.feed(
@@ -181,7 +182,7 @@
         attempt = 0
         if request is not None:
             attempt, request.attempts = request.attempts, request.attempts + 1
-        if request is None or attempt >= self.max_attempts or self.attempts.full:
+        if request is None or attempt >= request.max_attempts or self.attempts.full:
             self.feed(
                 api.Outcome(fetch.request, attempt, fetch.server, api.Status.SKIPPED, final=request is None)
             )
--- a/thornjunction/interface.py
+++ b/thornjunction/interface.py
@@ -110,7 +110,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All that a router is told at its start."""
+    """All that a router is told at its start; as an event, what holds for requests from then on."""
 
     classes: tuple[RequestClass, ...]
     zone: str  # where this front stands
@@ -235,7 +235,7 @@
     report: Report | None = None
 
 
-Event = Servers | Request | Outcome | ClientGone | TimerFired | Purged | Probed
+Event = Settings | Servers | Request | Outcome | ClientGone | TimerFired | Purged | Probed
 
 
 @dataclass(frozen=True, slots=True)
--- a/thornjunction/rules.py
+++ b/thornjunction/rules.py
@@ -168,6 +168,7 @@
         self.deadline, self.attempts, self.miss = now + event.left_ms - MARGIN, 0, False
         self.out: list[Attempt] = []  # a second one is the copy of a first that takes too long
         self.maybe: Ran | None = None  # the first attempt that may have run
+        self.usual, self.most = Usual(), 1  # of its class; attempts
         self.tried: set[str] = set()  # caches and sources that did not serve it
         self.faults: list[Server] = []  # who answered it with an error
 
@@ -176,31 +177,35 @@
     """Decides for one front through one life; call ``handle`` with events in the order of their times."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings, self.random = settings, random.Random(seed)
-        s, self.flow = settings, settings.flow_kb_per_ms or FLOW
-        edge = (s.cold_share, s.cold_ms, s.fall_multiple, s.zone_fronts.get(s.zone, s.instances), 1.0)
-        parent = (s.parent_cold_share, s.parent_cold_ms, s.parent_fall_multiple, s.instances, MISS_SHARE)
-        self.cold = {api.Role.EDGE: edge, api.Role.PARENT: parent, api.Role.ORIGIN: (1.0, 0.0, 0.0, 1, 0.0)}
-        self.classes = {kind.name: kind for kind in settings.classes}
+        self.random, self.usual, self.sizes = random.Random(seed), dict[str, Usual](), dict[str, Mean]()
+        self.adopt(settings)
         self.servers: dict[str, Server] = {}
         self.by_role: dict[api.Role, list[Server]] = {role: [] for role in api.Role}  # edges: of this zone
         self.orders: dict[tuple[int, api.Role], list[Server]] = {}  # preferences, until the list changes
         self.most = dict.fromkeys(api.Role, 1)  # ever listed: who bears the load where none is away
-        self.usual = {name: Usual() for name in self.classes}
         self.jobs: dict[str, Job] = {}
         self.held: dict[str, Job] = {}  # those of them that wait for a cache that may take them
         self.timers: dict[int, Job] = {}
         self.flying: dict[tuple[str, int], Attempt] = {}
         self.counts: dict[int, tuple[float, float, float]] = {}  # by copy: count, at, fetch time or -1
-        self.by_cost, self.by_hits = Placer(), Placer()
-        self.sizes = {name: Mean(SLOW_GAIN) for name in self.classes}
         self.fetch, self.link, self.size = Mean(FAST_GAIN), Mean(FAST_GAIN), Mean(SLOW_GAIN)
-        self.asked, self.load = 0.0, Mean(FAST_GAIN)  # sending time asked of this front: lately, and a ms
+        self.load, self.by_cost, self.by_hits = Mean(FAST_GAIN), Placer(), Placer()  # load: ms asked, a ms
         self.fills, self.behind, self.copies = Gate(), Gate(), Gate()  # behind: parents' own from the origin
         self.purges: dict[tuple[str, int], float] = {}
         self.effects: dict[str, Ran] = {}  # by idempotency key: the first attempt that may have run
         self.now = self.purged_all = -math.inf
-        self.w, self.retries, self.next_token = W_START, RETRY_DEPTH, 0
+        self.w, self.retries, self.next_token, self.asked = W_START, RETRY_DEPTH, 0, 0.0
+
+    def adopt(self, settings: api.Settings) -> None:
+        """Go by these from now on; a request that is open keeps those that it came under."""
+        self.settings, self.flow = settings, settings.flow_kb_per_ms or FLOW
+        s, self.blind = settings, settings.notes is api.Notes.NONE
+        edge = (s.cold_share, s.cold_ms, s.fall_multiple, s.zone_fronts.get(s.zone, s.instances), 1.0)
+        parent = (s.parent_cold_share, s.parent_cold_ms, s.parent_fall_multiple, s.instances, MISS_SHARE)
+        self.cold = {api.Role.EDGE: edge, api.Role.PARENT: parent, api.Role.ORIGIN: (1.0, 0.0, 0.0, 1, 0.0)}
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.usual = {name: self.usual.get(name, Usual()) for name in self.classes}
+        self.sizes = {name: self.sizes.get(name, Mean(SLOW_GAIN)) for name in self.classes}
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take in one event at its time; the actions to carry out, in order."""
@@ -224,6 +229,8 @@
                 self.on_servers(event)
             case api.Purged():
                 self.on_purged(event)
+            case api.Settings():
+                self.adopt(event)
             case api.ClientGone():
                 if event.request in self.jobs:
                     self.close(self.jobs[event.request])
@@ -267,6 +274,7 @@
         mean = self.sizes[kind.name].get(size) / self.flow
         job = self.jobs[event.request] = Job(event, kind, size / self.flow, mean, self.now)
         job.weight, self.asked = job.work / self.size.get(job.work), self.asked + job.mean
+        job.usual, job.most = self.usual[kind.name], self.settings.max_attempts
         job.maybe = self.effects.get(job.effect)
         self.retries = min(self.retries + RETRY_SHARE, RETRY_DEPTH)
         job.miss = self.count(job.copy) < KNOWN and not kind.passes
@@ -295,7 +303,7 @@
             return self.give_up(job)
         job.maybe = job.maybe or (None if event.status in NEVER_RAN else attempt.ran)
         at_source, lost = event.note in BROKEN, event.status in (api.Status.RESET, api.Status.ERROR)
-        if attempt.source is not None and (at_source or not lost or self.settings.notes is api.Notes.NONE):
+        if attempt.source is not None and (at_source or not lost or self.blind):
             job.tried.add(attempt.source.id)
         if not at_source and (not lost or attempt.server.ejected_for or attempt.server in job.faults[:-1]):
             job.tried.add(attempt.server.id)
@@ -359,8 +367,7 @@
     def first_byte(self, parent: Server) -> float:
         """Smoothed; where answers do not tell it, hits blur it, and distance counts too."""
         far = self.settings.zone_hub.get(self.settings.zone) != parent.entry.zone
-        blind = self.settings.notes is api.Notes.NONE
-        return parent.first_byte.get(self.fetch.get(1.0)) * (FAR if far and blind else 1.0)
+        return parent.first_byte.get(self.fetch.get(1.0)) * (FAR if far and self.blind else 1.0)
 
     def source(self, job: Job) -> Server | None:
         """Of two parents the one with the lower first-byte time; where neither can, others or the origin."""
@@ -439,7 +446,7 @@
 
     def dispatch(self, job: Job) -> None:
         """Send the next attempt, or hold the request, or end it."""
-        spent = job.attempts >= self.settings.max_attempts or (job.attempts > 0 and self.retries < 1)
+        spent = job.attempts >= job.most or (job.attempts > 0 and self.retries < 1)
         spent = spent or not self.may_note(job)
         if self.now >= job.deadline or spent:
             return self.give_up(job)
@@ -456,7 +463,7 @@
     def overdue(self, attempt: Attempt) -> bool:
         """An answer that may be lost, as most of its class have come sooner: a copy is sent beside it.
         Harm: more work where all are slow; so few are sent, and none where a gate has begun to shut."""
-        job, usual = attempt.job, self.usual[attempt.job.kind.name]
+        job, usual = attempt.job, attempt.job.usual
         alone = self.settings.may_copy and job.out == [attempt] and self.jobs.get(job.id) is job
         if not alone or job.kind.safety is not api.Safety.SAFE or self.retries < 1 or job.attempts > 1:
             return False
@@ -507,8 +514,7 @@
             self.link.add(event.report.link)
         if status in (api.Status.CANCELLED, api.Status.SKIPPED):
             return
-        blind = self.settings.notes is api.Notes.NONE
-        at_source = event.note in BROKEN or (blind and status is api.Status.BUSY)
+        at_source = event.note in BROKEN or (self.blind and status is api.Status.BUSY)
         refused = status is api.Status.REFUSED or (server.down and status is api.Status.TIMEOUT)
         if status is api.Status.ERROR and not at_source:
             job.faults.append(server)
@@ -516,18 +522,21 @@
             server.reset(self.now)
         elif status is not api.Status.BUSY:  # full is not ill: it only sends this request on
             server.record(status in (api.Status.DONE, api.Status.MISS) or at_source, self.now, refused)
-        if status is api.Status.DONE:  # so the request was good, and who answered with an error was not
-            self.blame(job, server)
-        server.down = refused
+        good, server.down = status is api.Status.DONE, refused
         server.heard = server.heard if refused or status is api.Status.TIMEOUT else self.now
-        good = status is api.Status.DONE
+        while good and job.faults:  # so the request can be used, and who answered with an error is to blame
+            if (other := job.faults.pop()) is not server:
+                other.record(False, self.now)
         if good and not attempt.overdue:
-            self.usual[job.kind.name].add(False)
+            job.usual.add(False)
         if event.note in (api.Note.FILLED_FROM_ORIGIN, api.Note.ORIGIN_FAILED):
             self.behind.answer(not good or event.took_ms > job.aim)
         if good or at_source:
             self.judge(attempt, event.took_ms if good else math.inf, event.note, done=True)
-        filled = (blind and good and job.miss) or event.note in (api.Note.FILLED, api.Note.FILLED_FROM_ORIGIN)
+        filled = (self.blind and good and job.miss) or event.note in (
+            api.Note.FILLED,
+            api.Note.FILLED_FROM_ORIGIN,
+        )
         if source is None or source is server or not (at_source or filled):
             return
         source.record(good, self.now)
@@ -539,13 +548,6 @@
         if job.copy in self.counts:
             self.counts[job.copy] = (*self.counts[job.copy][:2], wait)
 
-    def blame(self, job: Job, served: Server) -> None:
-        """Guards against clients whose requests no cache can use: those errors say nothing of a cache."""
-        for server in job.faults:
-            if server is not served:
-                server.record(False, self.now)
-        job.faults.clear()
-
     def judge(self, attempt: Attempt, took: float, note: api.Note, done: bool) -> None:
         """In time or late, once for each attempt: late as soon as its aim has passed."""
         late = took > attempt.job.aim
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from datetime import datetime
 from ipaddress import ip_address
@@ -46,6 +46,7 @@
     operators: tuple[str, int] | None = None  # where the operators' door listens
     socket_fd: int | None = None  # the clients' listening socket, where the platform holds it
     shared_folder: str = ""  # what the process before this one could leave for it, where it does
+    keys: frozenset[str] = frozenset()  # all that the file holds, by path
 
 
 def load_config(environ: Mapping[str, str]) -> Config:
@@ -95,10 +96,30 @@
         longest_ms=max(kind.give_up_ms for kind in settings.classes),
         operators=_address("admin_addr", door) if door else None,
         socket_fd=_descriptor("PROXY_SOCKET_FD", environ),
+        keys=frozenset(_paths(top.data)),
         shared_folder=environ.get("TMPDIR", "") if environ.get("PROXY_SOCKET_FD") else "",
     )
 
 
+def _paths(told: Any, path: str = "") -> Iterator[str]:
+    """The keys of nested objects; those in lists don't count, nor those of ``known``, which may differ."""
+    for key, value in told.items() if isinstance(told, Mapping) else ():
+        yield path + key
+        if key != "known":
+            yield from _paths(value, f"{path}{key}.")
+
+
+def check_complete(running: Config, fresh: Config) -> None:
+    """A file that lacks a key of the one before it is not taken: it may have been cut off, and a default
+    would stand in for what was meant."""
+    gone = running.keys - fresh.keys
+    if gone:
+        raise ConfigError(f"{min(gone)}: missing")
+    known = {kind.name for kind in fresh.settings.classes}
+    if len(known) < len(fresh.settings.classes):
+        raise ConfigError("settings.classes: two of one name")
+
+
 def _settings(params: Params) -> api.Settings:
     try:
         return read_settings(params)
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from socket import AF_INET
 from typing import Any
 
@@ -33,7 +34,14 @@
 from thornjunction.net.wire.commands import Command, Host, ListChange
 from thornjunction.net.wire.operators import encode_figures, encode_word
 from thornjunction.rules import Router
-from thornjunction.runtime.config import Config, ConfigError, Extras, MetricsTargets, SignedFront
+from thornjunction.runtime.config import (
+    Config,
+    ConfigError,
+    Extras,
+    MetricsTargets,
+    SignedFront,
+    check_complete,
+)
 from thornjunction.runtime.drain import Drain
 from thornjunction.runtime.figures import figures_of
 from thornjunction.runtime.handover import Handover
@@ -42,7 +50,7 @@
 ACCEPT_MS = 800.0  # after SIGTERM: new connections come for 400 ms, requests on open ones for 200 ms more
 KILL_MS, LONGEST_MS = 700.0, 3_000.0  # SIGKILL: so long after the longest deadline, which counts so much
 EARLY_MS = 80.0  # before it: the last answers; and again, the last connections
-LASTING = "name", "listen", "sockets", "settings", "roles", "shelves"  # what a reload doesn't change
+LASTING = "name", "listen", "sockets", "roles", "shelves"  # what a reload doesn't change
 CATCH_UP_MS = 500.0  # for the command channel's first answer; then what is known has to do
 AWAY_MS = 600.0  # after the operators' call: new connections come for 0.2 s past the first no
 LOOK_MS, FLUSH_MS = 20.0, 500.0  # between looks whether all is answered; for the last bytes to go out
@@ -65,7 +73,6 @@
         attempts = config.settings.max_attempts
         self.engine = Engine(self.router, attempts, core_ms, deadlines, self.pool, counters)
         self.counters, self.files = counters, Counter[str]()
-        counters.classes |= {kind.name for kind in config.settings.classes}
         self.pool.ends = self.engine
         self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take, self._serve)
         self.clients = ClientTable(max(config.sockets // 3, 1), budget)
@@ -73,9 +80,9 @@
         self.handover = Handover(config.shared_folder, config.name)
         self.ready = self.ending = self.succeeded = self.faulty = False
         self.admission = Admission(random.Random(config.seed).random, config.cores)
-        wait_ms = config.settings.max_wait_advice_ms if config.settings.may_advise_wait else 0.0
-        self._refusal = platform.encode_cgi(Refused(wait_ms))
+        self.classes: dict[str, api.RequestClass] = {}
         self.door = self._door(extras.signed) if extras.signed else None
+        self._settle(config.settings)
         self.metrics = self._metrics(extras.metrics, counters) if extras.metrics else None
         self.signed = extras.signed
         calls = {
@@ -169,8 +176,7 @@
         return SignedLink(self.clients, self.alarm.deadlines, core_ms, self.door)
 
     def _door(self, front: SignedFront) -> Door:
-        classes = {kind.name: kind for kind in self.config.settings.classes}
-        return Door(self.engine, classes, front.base, front.trust, Nonces(), time.time)
+        return Door(self.engine, self.classes, front.base, front.trust, Nonces(), time.time)
 
     def _metrics(self, targets: MetricsTargets, counters: Counters) -> Metrics:
         deadlines, name = self.alarm.deadlines, self.config.name
@@ -226,10 +232,11 @@
         )
 
     def reload(self) -> None:
-        """SIGHUP: go on at the file's ``channel``.  All else in it needs a restart; a faulty file changes
-        nothing."""
+        """SIGHUP: go on at the file's ``channel`` and by its ``settings``.  All else in it needs a restart; a
+        faulty file changes nothing."""
         try:
             fresh = self.load()
+            check_complete(self.config, fresh)
         except ConfigError as error:
             self.files["invalid"] += 1
             return log.error("reload refused, nothing changed: %s", error)
@@ -237,6 +244,19 @@
         told = [name for name in LASTING if getattr(fresh, name) != getattr(self.config, name)]
         log.info("reloaded channel=%s:%d need-restart=%s", *fresh.channel, ",".join(told) or "none")
         self.channel.move(fresh.channel)
+        settings, longest_ms = fresh.settings, fresh.longest_ms
+        self.config = replace(self.config, settings=settings, longest_ms=longest_ms, keys=fresh.keys)
+        self._settle(fresh.settings)
+        self.engine.feed(fresh.settings)
+
+    def _settle(self, settings: api.Settings) -> None:
+        """What is drawn from the settings outside the decisions; what is open keeps what it came under."""
+        self.engine.max_attempts = settings.max_attempts
+        self.classes.clear()
+        self.classes |= {kind.name: kind for kind in settings.classes}
+        self.counters.classes |= self.classes.keys()
+        wait_ms = settings.max_wait_advice_ms if settings.may_advise_wait else 0.0
+        self._refusal = platform.encode_cgi(Refused(wait_ms))
 
     def end(self) -> None:
         """SIGTERM: accept through the stated window, answer all that was taken, then exit 0."""
--- a/thornjunction/settings.py
+++ b/thornjunction/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -37,6 +38,13 @@
             raise WireError(f"setting {self.path + name!r} has an impossible value {found!r}")
         return float(found)
 
+    def positive(self, name: str) -> float:
+        """A number above zero."""
+        found = self.number(name)
+        if not found > 0:
+            raise WireError(f"setting {self.path + name!r} has an impossible value {found!r}")
+        return found
+
     def choice(self, name: str, options: type[Any], default: str | None = None) -> Any:
         """One of an enum's values."""
         found = self.get(name, str, default)
@@ -61,7 +69,7 @@
     return api.RequestClass(
         name=params.get("name", str),
         aim_ms=params.number("aimMs"),
-        give_up_ms=params.number("giveUpMs"),
+        give_up_ms=params.positive("giveUpMs"),
         safety=params.choice("idempotency", api.Safety),
         aim_stretch=params.number("aimStretch", 0.0),
         late_worth=params.number("lateWorth", 0.0),
@@ -95,7 +103,7 @@
         zone=params.get("myZone", str),
         instances=int(params.number("instances")),
         zone_fronts={zone: int(count) for zone, count in by_zone("instancesByZone").items()},
-        max_attempts=int(allowed.number("attemptsCap")),
+        max_attempts=math.ceil(allowed.positive("attemptsCap")),
         drain_grace_ms=safety.number("drainGraceMs"),
         cold_share=safety.number("startCapacity"),
         cold_ms=safety.number("coldMs"),
