Load no library of the operators' extras in a router without them; keys out of the tree

- `python -m thornjunction` with no command imports neither click nor the extras; config.py (368 lines) is split: the platform's configuration stays, the operators' file goes to extras.py, the second front's wiring to second_front.py, both imported only where there is such a file.
A test holds it.
- [signed] gossip was read and checked, but nothing was ever started for it; it is started now (test).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv-ci
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build dev lint test check run sim
+.PHONY: build dev lint test tidy check run sim
 
 build:
 	$(BUILD)
@@ -19,7 +19,11 @@
 test: dev
 	$(VENV)/bin/python -m pytest -q || [ $$? -eq 5 ]  # 5: no tests were collected
 
-check: lint test
+tidy:  # what a run leaves behind, or what is not yet added, must not go unseen
+	@left="$$(git status --porcelain | grep -v '^[AMDR]  ' || true)"; \
+	if [ -n "$$left" ]; then echo "the tree is not clean:"; echo "$$left"; exit 1; fi
+
+check: lint test tidy
 
 run: build
 	exec .venv/bin/python -m thornjunction
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from dataclasses import replace
+from typing import Any, cast
 
 import pytest
 from hypothesis import given, settings
@@ -16,6 +17,8 @@
 from thornjunction.net.alarm import Alarm, core_ms
 from thornjunction.net.gossip import Gossip
 from thornjunction.net.wire import ProtocolError, gossip
+from thornjunction.runtime.extras import GossipPeers, SignedFront
+from thornjunction.runtime.second_front import SecondFront
 from thornjunction.signing import tokens
 from thornjunction.signing.replay import ReplayWindow
 
@@ -77,3 +80,12 @@
     for spoilt in (junk, whole[:-1] + bytes([whole[-1] ^ 1])):
         with pytest.raises(ProtocolError):
             gossip.decode(spoilt, SECRET)
+
+
+def test_the_operators_file_turns_it_on() -> None:
+    """The section was read and checked, and then nothing was started."""
+    peers = GossipPeers(("127.0.0.1", 8490), (("127.0.0.1", 8491),), SECRET)
+    told = SignedFront(("127.0.0.1", 0), "http://a", TRUST, ReplayWindow(), gossip=peers)
+    door = SecondFront(told, *(cast(Any, None),) * 4).door
+    assert door.gossip is not None and door.gossip.window is told.replays
+    assert SecondFront(replace(told, gossip=None), *(cast(Any, None),) * 4).door.gossip is None
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -11,7 +11,8 @@
 
 from tests.standins import BASE, TRUST
 from thornjunction.net.front_signed import Door
-from thornjunction.runtime.config import ConfigError, load_extras
+from thornjunction.runtime.config import ConfigError
+from thornjunction.runtime.extras import load_extras
 from thornjunction.runtime.keys import KeyWatch
 from thornjunction.signing import tokens
 from thornjunction.signing.replay import ReplayWindow
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -274,3 +274,10 @@
     command, env = [sys.executable, "-m", "thornjunction"], os.environ | {"PROXY_CONFIG": str(path)}
     ended = subprocess.run(command, env=env, cwd=ROOT, capture_output=True, text=True, timeout=60)
     assert ended.returncode == 2 and "'limits' is missing" in ended.stderr
+
+
+def test_a_router_without_extras_pays_for_none_of_their_libraries() -> None:
+    code = "import sys, thornjunction.runtime.start, thornjunction.runtime.service; print(*sys.modules)"
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, text=True).stdout
+    assert "twisted" in loaded.split()
+    assert not {"click", "joserfc", "re2"} & set(loaded.split())
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -5,6 +5,7 @@
 
 import datetime
 import socket
+import tempfile
 from pathlib import Path
 from typing import Any
 
@@ -22,7 +23,7 @@
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.front_signed import SignedLink
 from thornjunction.net.transport import Building
-from thornjunction.runtime.config import TlsError, TlsFiles
+from thornjunction.runtime.extras import TlsError, TlsFiles
 from thornjunction.runtime.tls import CertWatch
 
 
@@ -71,8 +72,9 @@
     timeout = 20
 
     def setUp(self) -> None:
-        self.folder = Path(self.mktemp())
-        self.folder.mkdir()
+        temporary = tempfile.TemporaryDirectory()  # trial's own mktemp() leaves keys in the working folder
+        self.addCleanup(temporary.cleanup)
+        self.folder = Path(temporary.name)
         self.files = TlsFiles(self.folder / "cert.pem", self.folder / "key.pem")
         self.write("one")
         self.watch = CertWatch(self.files)
--- a/thornjunction/cli.py
+++ b/thornjunction/cli.py
@@ -15,7 +15,9 @@
 import click
 from joserfc.jwk import ECKey, OctKey
 
-from thornjunction.runtime.config import EXTRAS, ConfigError, SignedFront, load_config, load_extras
+from thornjunction.runtime.config import ConfigError, load_config
+from thornjunction.runtime.extras import SignedFront, load_extras
+from thornjunction.runtime.start import EXTRAS, serve_or_demo
 from thornjunction.signing import keyset, tokens
 from thornjunction.signing.replay import ReplayWindow
 
@@ -34,17 +36,7 @@
 def run() -> None:
     """Serve until SIGTERM; the configuration is the file that PROXY_CONFIG names, and without it a demo
     with stand-in shelfs on loopback."""
-    if "PROXY_CONFIG" not in os.environ:
-        from twisted.internet import reactor
-
-        from thornjunction import logs
-        from thornjunction.demo.start import serve_demo
-
-        logs.to_stream(sys.stderr)
-        sys.exit(serve_demo(reactor))
-    from thornjunction.runtime.start import serve
-
-    sys.exit(serve(os.environ, EXTRAS))
+    sys.exit(serve_or_demo(os.environ))
 
 
 @main.command()
--- a/thornjunction/demo/start.py
+++ b/thornjunction/demo/start.py
@@ -16,7 +16,8 @@
 
 from thornjunction.core.counters import Counters
 from thornjunction.demo.standins import DemoDiscovery, DemoShelf
-from thornjunction.runtime.config import Config, Extras, SignedFront, parse_config
+from thornjunction.runtime.config import Config, parse_config
+from thornjunction.runtime.extras import Extras, SignedFront
 from thornjunction.signing import tokens
 from thornjunction.signing.replay import ReplayWindow
 
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -1,28 +1,18 @@
-"""The one place where configuration is read, checked and given defaults; messages name the faulty key."""
+"""The one place where the platform's configuration is read, checked and given defaults; messages name the
+faulty key.  The operators' own file: ``extras.py``."""
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
-from datetime import datetime
-from importlib.util import find_spec
-from ipaddress import ip_address
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from joserfc.errors import JoseError
-from joserfc.jwk import ECKey, OctKey
-
 from thornjunction import interface as api
 from thornjunction.net.shelves import Limits
 from thornjunction.net.wire import ProtocolError
 from thornjunction.net.wire.commands import Commands, parse_address, read_commands
 from thornjunction.settings import Params, WireError, parse_json, read_roles, read_settings
-from thornjunction.signing import keyset
-from thornjunction.signing.address import Forwarding
-from thornjunction.signing.replay import ReplayWindow
-from thornjunction.signing.tokens import ALGORITHMS, Key, SigningKey, Trust
 
 BUFFER_SHARE = 0.2  # of the memory; half of the least that the platform gives is the program itself
 
@@ -82,12 +72,12 @@
     door = environ.get("PROXY_ADMIN_ADDR") or top.get("admin_addr", str, "")
     return Config(
         name=environ.get("PROXY_NAME") or top.get("name", str),
-        listen=_address("listen", environ.get("PROXY_LISTEN") or top.get("listen", str)),
+        listen=address_of("listen", environ.get("PROXY_LISTEN") or top.get("listen", str)),
         seed=_seed(top.get("seed", str, "0")),
         cores=min(max(limits.number("cores", 1.0), 0.05), 1.0),
         sockets=sockets,
         buffer_bytes=int(limits.number("memory_mb", 64.0) * 1e6 * BUFFER_SHARE),
-        channel=_address("channel", top.get("channel", str)),
+        channel=address_of("channel", top.get("channel", str)),
         known=_known(top.get("known", dict)),
         settings=settings,
         roles=read_roles(params),
@@ -98,7 +88,7 @@
             connections=sockets // 3,
         ),
         longest_ms=max(kind.give_up_ms for kind in settings.classes),
-        operators=_address("admin_addr", door) if door else None,
+        operators=address_of("admin_addr", door) if door else None,
         socket_fd=_descriptor("PROXY_SOCKET_FD", environ),
         keys=frozenset(_paths(top.data)),
         shared_folder=environ.get("TMPDIR", "") if environ.get("PROXY_SOCKET_FD") else "",
@@ -132,7 +122,8 @@
         raise ConfigError(f"settings: an impossible value: {error}") from error
 
 
-def _address(key: str, text: str) -> tuple[str, int]:
+def address_of(key: str, text: str) -> tuple[str, int]:
+    """An IPv4 address and port; ConfigError, naming the key, otherwise."""
     try:
         return parse_address(text)
     except ValueError as error:
@@ -158,211 +149,3 @@
         return read_commands(told)
     except ProtocolError as error:
         raise ConfigError("known: not a list of commands") from error
-
-
-@dataclass(frozen=True, slots=True)
-class KeySource:
-    """A key set file (RFC 7517 §5), the operators' retirement dates by kid, and how often it is read."""
-
-    path: Path
-    retire: dict[str, float]
-    every_s: float
-
-    def read(self, algorithms: tuple[str, ...]) -> keyset.KeySet:
-        """The file's keys; ConfigError, naming the file and the first fault, otherwise."""
-        try:
-            return keyset.read(self.path.read_bytes(), algorithms, self.retire)
-        except OSError as error:
-            raise ConfigError(f"signed.keyset: {self.path.name}: {error.strerror}") from error
-        except keyset.KeySetError as error:
-            raise ConfigError(f"signed.keyset: {self.path.name}: {error}") from error
-
-
-@dataclass(frozen=True, slots=True)
-class SignedFront:
-    """Where the second front listens, whose tokens it takes, and what it keeps of them."""
-
-    listen: tuple[str, int]
-    base: str
-    trust: Trust
-    replays: ReplayWindow
-    forwarding: Forwarding = Forwarding()
-    keyset: KeySource | None = None
-    gossip: GossipPeers | None = None
-    tls: TlsFiles | None = None
-
-
-class TlsError(Exception):
-    """A pair that can't serve: the reason, never the key's text."""
-
-
-@dataclass(frozen=True, slots=True)
-class TlsFiles:
-    """PEM files of a certificate chain and its private key, and how often they are read (seconds)."""
-
-    cert: Path
-    key: Path
-    every_s: float = 60.0
-
-
-@dataclass(frozen=True, slots=True)
-class GossipPeers:
-    """Where this router hears its peers' taken tokens, whom it tells, and the fleet's secret (not shown)."""
-
-    listen: tuple[str, int]
-    peers: tuple[tuple[str, int], ...]
-    secret: bytes = field(repr=False)
-
-
-@dataclass(frozen=True, slots=True)
-class MetricsTargets:
-    """Where figures go, and how often."""
-
-    interval_s: float
-    prefix: str
-    graphite: tuple[str, int] | None
-    collectd: tuple[str, int] | None
-
-
-@dataclass(frozen=True, slots=True)
-class Extras:
-    """What the operators' file under deploy/ turns on; off where there is no file."""
-
-    signed: SignedFront | None = None
-    metrics: MetricsTargets | None = None
-
-
-EXTRAS = Path(__file__).resolve().parent.parent.parent / "deploy" / "extras.toml"  # the operators' own file
-
-
-def load_extras(path: Path) -> Extras:
-    """The extras of a file; none if it does not exist."""
-    if not path.exists():
-        return Extras()
-    try:
-        top = Params(tomllib.loads(path.read_text(encoding="utf-8")))
-        return Extras(
-            signed=_signed(top, path.parent) if "signed" in top.data else None,
-            metrics=_metrics(top.below("metrics")) if "metrics" in top.data else None,
-        )
-    except (OSError, tomllib.TOMLDecodeError, WireError) as error:
-        raise ConfigError(f"{path.name}: {error}") from error
-
-
-def _signed(top: Params, folder: Path) -> SignedFront:
-    front = top.below("signed")
-    listen = _address("signed.listen", front.get("listen", str))
-    if not ip_address(listen[0]).is_loopback:
-        raise ConfigError("signed.listen: not a loopback address")
-    base = front.get("base", str)
-    if not base.startswith(("http://", "https://")) or base.count("/") != 2:
-        raise ConfigError("signed.base: not a scheme and a host")
-    source = _key_source(front, folder) if "keyset" in front.data else None
-    trust = _trust(front, folder, source)
-    gossip = _gossip(front.below("gossip"), folder) if "gossip" in front.data else None
-    tls = _tls(front.below("tls"), folder) if "tls" in front.data else None
-    return SignedFront(listen, base, trust, _replays(front), _forwarding(front), source, gossip, tls)
-
-
-def _tls(params: Params, folder: Path) -> TlsFiles:
-    files = TlsFiles(
-        folder / params.get("cert", str), folder / params.get("key", str), params.number("every_s", 60)
-    )
-    for path in (files.cert, files.key):
-        if not path.is_file():
-            raise ConfigError(f"signed.tls: no file {path.name}")
-    if not 1.0 <= files.every_s <= 86_400.0:
-        raise ConfigError("signed.tls.every_s: not within 1 s and a day")
-    if find_spec("OpenSSL") is None:
-        raise ConfigError("signed.tls: pyOpenSSL is not installed (requirements-tls.txt)")
-    return files
-
-
-def _gossip(params: Params, folder: Path) -> GossipPeers:
-    peers = tuple(_address("signed.gossip.peers", str(peer)) for peer in params.get("peers", list))
-    try:
-        secret = (folder / params.get("secret_file", str)).read_bytes().strip()
-    except OSError as error:
-        raise ConfigError(f"signed.gossip.secret_file: {error.strerror}") from error
-    if len(secret) < 32 or not peers:
-        raise ConfigError("signed.gossip: a secret of 32 bytes or more, and one peer or more, are needed")
-    return GossipPeers(_address("signed.gossip.listen", params.get("listen", str)), peers, secret)
-
-
-def _key_source(front: Params, folder: Path) -> KeySource:
-    retire = front.data.get("retire", {})
-    if not isinstance(retire, dict) or not all(isinstance(at, datetime) for at in retire.values()):
-        raise ConfigError("signed.retire: not a table of kid = date and time")
-    every_s = front.number("keys_every_s", 60.0)
-    if not 1.0 <= every_s <= 86_400.0:
-        raise ConfigError("signed.keys_every_s: not within 1 s and a day")
-    return KeySource(
-        folder / front.get("keyset", str), {k: at.timestamp() for k, at in retire.items()}, every_s
-    )
-
-
-def _replays(front: Params) -> ReplayWindow:
-    cap_mb, horizon_s = front.number("replay_cap_mb", 8.0), front.number("replay_horizon_s", 86_400.0)
-    if not 0.01 <= cap_mb <= 4096 or not 60.0 <= horizon_s <= 30 * 86_400.0:
-        raise ConfigError(
-            "signed.replay_cap_mb, replay_horizon_s: not within 0.01 to 4096 MB, 60 s to 30 days"
-        )
-    return ReplayWindow(int(cap_mb * (1 << 20)), max(horizon_s / 8640, 1.0), horizon_s)
-
-
-def _forwarding(front: Params) -> Forwarding:
-    told = front.data.get("forwarding", {})
-    try:
-        return Forwarding(str(told.get("header", "")).lower(), tuple(told.get("trusted", ())))
-    except (ValueError, AttributeError, TypeError) as error:
-        raise ConfigError(f"signed.forwarding: {error}") from error
-
-
-def _trust(front: Params, folder: Path, source: KeySource | None) -> Trust:
-    algorithms = tuple(front.get("algorithms", list))
-    if not algorithms or not set(algorithms) <= set(ALGORITHMS):
-        raise ConfigError(f"signed.algorithms: not a list of {', '.join(ALGORITHMS)}")
-    if source is not None:
-        keys = list(source.read(algorithms).keys.values())
-    else:
-        keys = [_key(data, place, folder, algorithms) for place, data in enumerate(front.get("keys", list))]
-    trust = Trust(
-        issuers=frozenset(front.get("issuers", list)),
-        audience=front.get("audience", str),
-        algorithms=algorithms,
-        keys={key.kid: key for key in keys},
-        sign_with=front.get("sign_with", str),
-        skew_s=front.number("skew_s", 5.0),
-    )
-    if not trust.issuers:
-        raise ConfigError("signed.issuers: empty")
-    if trust.sign_with not in trust.keys or len(trust.keys) < len(keys):
-        raise ConfigError("signed.sign_with: names no key, or two keys have one kid")
-    return trust
-
-
-def _key(data: Any, place: int, folder: Path, algorithms: tuple[str, ...]) -> SigningKey:
-    name = f"signed.keys[{place}]"
-    params = Params(data, f"{name}.")
-    algorithm, until = params.get("algorithm", str), params.data.get("until")
-    if algorithm not in algorithms:
-        raise ConfigError(f"{name}.algorithm: not among signed.algorithms")
-    if until is not None and not isinstance(until, datetime):
-        raise ConfigError(f"{name}.until: not a date and time")
-    try:
-        told = parse_json((folder / params.get("file", str)).read_bytes())
-        key: Key = ECKey.import_key(told) if algorithm == "ES256" else OctKey.import_key(told)
-    except (OSError, WireError, JoseError, ValueError, TypeError, KeyError) as error:
-        raise ConfigError(f"{name}.file: no such JSON Web Key") from error  # its text must not be shown
-    return SigningKey(params.get("kid", str), algorithm, key, until.timestamp() if until else None)
-
-
-def _metrics(params: Params) -> MetricsTargets:
-    targets = {name: params.data.get(name) for name in ("graphite", "collectd")}
-    addresses = {n: _address(f"metrics.{n}", str(told)) if told else None for n, told in targets.items()}
-    return MetricsTargets(
-        interval_s=max(params.number("interval_s", 10.0), 0.1),
-        prefix=params.get("prefix", str, "thornjunction"),
-        graphite=addresses["graphite"],
-        collectd=addresses["collectd"],
-    )
--- a/thornjunction/runtime/keys.py
+++ b/thornjunction/runtime/keys.py
@@ -10,7 +10,8 @@
 
 from thornjunction.logs import get_logger
 from thornjunction.net.front_signed import Door
-from thornjunction.runtime.config import ConfigError, KeySource
+from thornjunction.runtime.config import ConfigError
+from thornjunction.runtime.extras import KeySource
 from thornjunction.signing import keyset
 
 log = get_logger(__name__)
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from socket import AF_INET
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet import protocol
 
@@ -25,8 +25,6 @@
 from thornjunction.net.channel import Channel
 from thornjunction.net.client_link import ClientTable
 from thornjunction.net.front_fastcgi import FastCgiLink
-from thornjunction.net.front_signed import Door, SignedLink
-from thornjunction.net.metrics import Metrics
 from thornjunction.net.operators import OperatorsDoor, OperatorsLink
 from thornjunction.net.shelves import ShelfPool
 from thornjunction.net.transport import Building, server_endpoint
@@ -34,18 +32,15 @@
 from thornjunction.net.wire.commands import Command, Host, ListChange
 from thornjunction.net.wire.operators import encode_figures, encode_word
 from thornjunction.rules import Router
-from thornjunction.runtime.config import (
-    Config,
-    ConfigError,
-    Extras,
-    MetricsTargets,
-    SignedFront,
-    check_complete,
-)
+from thornjunction.runtime.config import Config, ConfigError, check_complete
 from thornjunction.runtime.drain import Drain
 from thornjunction.runtime.figures import figures_of
 from thornjunction.runtime.handover import Handover
-from thornjunction.runtime.keys import KeyWatch, Watch
+
+if TYPE_CHECKING:  # what the operators' file turns on is imported where there is one
+    from thornjunction.net.metrics import Metrics
+    from thornjunction.runtime.extras import Extras, MetricsTargets
+    from thornjunction.runtime.second_front import SecondFront
 
 ACCEPT_MS = 800.0  # after SIGTERM: new connections come for 400 ms, requests on open ones for 200 ms more
 KILL_MS, LONGEST_MS = 700.0, 3_000.0  # SIGKILL: so long after the longest deadline, which counts so much
@@ -62,7 +57,12 @@
     """One request router from its start to its exit."""
 
     def __init__(
-        self, config: Config, extras: Extras, reactor: Any, counters: Counters, load: Callable[[], Config]
+        self,
+        config: Config,
+        extras: Extras | None,
+        reactor: Any,
+        counters: Counters,
+        load: Callable[[], Config],
     ) -> None:
         self.config, self.reactor, self.load = config, reactor, load
         self.alarm = Alarm(reactor)
@@ -81,12 +81,9 @@
         self.ready = self.ending = self.succeeded = self.faulty = False
         self.admission = Admission(random.Random(config.seed).random, config.cores)
         self.classes: dict[str, api.RequestClass] = {}
-        self.keys: KeyWatch | None = None
-        self.certs: Watch | None = None
-        self.door = self._door(extras.signed) if extras.signed else None
+        self.second = self._second_front(extras)
         self._settle(config.settings)
-        self.metrics = self._metrics(extras.metrics, counters) if extras.metrics else None
-        self.signed = extras.signed
+        self.metrics = self._metrics(extras.metrics, counters) if extras and extras.metrics else None
         calls = {
             "check": self._check,
             "vars": self._figures,
@@ -118,19 +115,8 @@
         else:
             self.listen(*self.config.listen, self._platform_link)
         self.handover.announce()
-        if self.signed is not None:
-            if self.door is not None and self.door.gossip is not None and self.signed.gossip is not None:
-                host, port = self.signed.gossip.listen
-                self._ports.append(self.reactor.listenUDP(port, self.door.gossip, interface=host))
-            if self.keys is not None:
-                self._look_at_files(self.keys, self.keys.source.every_s)
-            if self.certs is not None and self.signed.tls is not None:
-                self._look_at_files(self.certs, self.signed.tls.every_s)
-                host, port = self.signed.listen
-                factory = Building(self._signed_link)
-                self._ports.append(self.reactor.listenSSL(port, factory, self.certs, 1024, host))
-            else:
-                self.listen(*self.signed.listen, self._signed_link)
+        if self.second is not None:
+            self._ports += self.second.listen(self.reactor, self.listen)
         if self.metrics is not None:
             self.metrics.start()
 
@@ -186,28 +172,16 @@
     def _operators_link(self) -> OperatorsLink:
         return OperatorsLink(self.operators)
 
-    def _signed_link(self) -> SignedLink:
-        assert self.door is not None
-        return SignedLink(self.clients, self.alarm.deadlines, core_ms, self.door)
-
-    def _door(self, front: SignedFront) -> Door:
-        door = Door(
-            self.engine, self.classes, front.base, front.trust, front.replays, time.time, front.forwarding
-        )
-        self.keys = KeyWatch(door, front.keyset) if front.keyset is not None else None
-        if front.tls is not None:
-            from thornjunction.runtime.tls import CertWatch  # pyOpenSSL, only where TLS is on
+    def _second_front(self, extras: Extras | None) -> SecondFront | None:
+        if extras is None or extras.signed is None:
+            return None
+        from thornjunction.runtime.second_front import SecondFront
 
-            self.certs = CertWatch(front.tls)
-        return door
-
-    def _look_at_files(self, watch: Watch, every_s: float) -> None:
-        """The key set, or the certificate, read again while the router serves."""
-        if not self.ending:
-            watch.look()
-            self.alarm.deadlines.add(core_ms() + every_s * 1000, lambda: self._look_at_files(watch, every_s))
+        return SecondFront(extras.signed, self.engine, self.classes, self.clients, self.alarm.deadlines)
 
     def _metrics(self, targets: MetricsTargets, counters: Counters) -> Metrics:
+        from thornjunction.net.metrics import Metrics
+
         deadlines, name = self.alarm.deadlines, self.config.name
         metrics = Metrics(self.reactor, deadlines, core_ms, time.time, counters, name, targets.interval_s)
         if targets.graphite is not None:
@@ -263,9 +237,8 @@
     def reload(self) -> None:
         """SIGHUP: go on at the file's ``channel`` and by its ``settings``.  All else in it needs a restart; a
         faulty file changes nothing.  The second front's key set and certificate are read again too."""
-        for watch in (self.keys, self.certs):
-            if watch is not None:
-                watch.look()
+        if self.second is not None:
+            self.second.look()
         try:
             fresh = self.load()
             check_complete(self.config, fresh)
--- a/thornjunction/runtime/start.py
+++ b/thornjunction/runtime/start.py
@@ -6,32 +6,53 @@
 import sys
 from collections.abc import Mapping
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from thornjunction import logs
 from thornjunction.core.counters import Counters
-from thornjunction.runtime.config import ConfigError, TlsError, load_config, load_extras
+from thornjunction.runtime.config import ConfigError, load_config
+
+if TYPE_CHECKING:
+    from thornjunction.runtime.extras import Extras
 
 GC_THRESHOLDS = 20_000, 50, 100  # few cycles are made; the default looks for them several times a millisecond
 
 
+EXTRAS = Path(__file__).resolve().parent.parent.parent / "deploy" / "extras.toml"  # the operators' own file
+
+
+def serve_or_demo(environ: Mapping[str, str]) -> int:
+    """``serve``; where PROXY_CONFIG is not set, a demo on stand-ins."""
+    if "PROXY_CONFIG" in environ:
+        return serve(environ, EXTRAS)
+    from twisted.internet import reactor
+
+    from thornjunction.demo.start import serve_demo
+
+    logs.to_stream(sys.stderr)
+    return serve_demo(reactor)
+
+
 def serve(environ: Mapping[str, str], extras_path: Path) -> int:
     """Serve until SIGTERM; the exit code: 0, or 2 for a faulty configuration, named on standard error."""
     logs.to_stream(sys.stderr)
     try:
         config = load_config(environ)
-        extras = load_extras(extras_path)
-    except ConfigError as error:
-        print(f"thornjunction: {error}", file=sys.stderr)
-        return 2
-    from twisted.internet import reactor
+        extras = _extras(extras_path) if extras_path.exists() else None
+        from twisted.internet import reactor
 
-    from thornjunction.runtime.service import Service
+        from thornjunction.runtime.service import Service
 
-    try:
         service = Service(config, extras, reactor, Counters(), lambda: load_config(environ))
-    except TlsError as error:
+    except ConfigError as error:
         print(f"thornjunction: {error}", file=sys.stderr)
         return 2
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     return service.run()
+
+
+def _extras(path: Path) -> Extras:
+    from thornjunction.runtime.extras import load_extras  # its libraries, only where there is such a file
+
+    return load_extras(path)
--- a/thornjunction/runtime/tls.py
+++ b/thornjunction/runtime/tls.py
@@ -18,7 +18,7 @@
 from zope.interface import implementer  # type: ignore[import-untyped]
 
 from thornjunction.logs import get_logger
-from thornjunction.runtime.config import TlsError, TlsFiles
+from thornjunction.runtime.extras import TlsError, TlsFiles
 
 log = get_logger(__name__)
 
