Guard the origin for the fleet: answers weigh the time they speak for, refusals wait, retries are shared

Lines at fault: RETRY_DEPTH = 20 saved-up retries is 60 for three routers and 4,000 for two hundred; on_outcome sent again at once; `behind`, the gate for what parents fetch from the origin, learnt nothing where answers tell nothing; Gate.answer moved by the same step for 5 answers a second as for 200.

Change: thornjunction/limits/ (no clock, no I/O): a gate's late answer weighs the time since the last one, and gates open with time; the reserve of retries is the fleet's, divided by its routers; a refused attempt waits an eighth of its aim, doubled each time and spread, and a request whose next try could earn nothing is answered at once. `behind` hears alerts (slower than half their aim: the origin's queue), refusals and late fills.

--- /dev/null
+++ b/tests/test_fleet_limits.py
@@ -0,0 +1,96 @@
+"""Limits that hold for the fleet though no router hears another: gates that open with time, retries counted
+for all, waits after refusals, and the origin's gate where answers tell nothing."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.helpers import EDGES, ORIGIN, PARENTS, Bench, fetch_of, finals, only
+from thornjunction import interface as api
+from thornjunction.limits.gates import LEAST, Gate
+from thornjunction.limits.retries import Retries, wait_ms
+
+
+def blind(**more: object) -> Bench:
+    """One of two hundred, where answers tell nothing of fills."""
+    more = {"notes": api.Notes.NONE, "may_bypass": True, "instances": 200, **more}
+    return Bench((*EDGES, *PARENTS, ORIGIN), **more)
+
+
+def test_a_gate_opens_with_time_alone() -> None:
+    """One of hundreds of fronts gets too few answers to learn from them that a trouble is over."""
+    gate = Gate()
+    for _ in range(40):
+        gate.answer(True, 1000.0)
+    assert gate.share == LEAST
+    assert 0.3 < gate.look(3000.0) < 0.4 and gate.look(8000.0) == 1.0
+
+
+def test_a_late_answer_weighs_more_where_few_come() -> None:
+    """One of two hundred hears one refusal while the fleet hears a hundred."""
+    often, seldom = Gate(0.0), Gate(0.0)
+    for number in range(20):
+        often.answer(False, 1000.0 + number)
+    often.answer(True, 1020.0)
+    seldom.answer(False, 1000.0)
+    seldom.answer(True, 3000.0)
+    assert 0.8 < often.share < 0.9 and 0.2 < seldom.share < 0.25
+
+
+@pytest.mark.parametrize(("routers", "depth"), [(3, 20.0), (60, 2.0), (200, 2.0), (0, 60.0)])
+def test_saved_up_retries_are_shared_by_the_fleet(routers: int, depth: float) -> None:
+    retries = Retries(routers)
+    for _ in range(100):
+        retries.earn()
+    assert retries.saved == depth
+
+
+def test_waits_double_and_spread() -> None:
+    assert [wait_ms(800.0, attempts, lambda: 0.5) for attempts in (1, 2, 3)] == [100.0, 200.0, 400.0]
+    assert wait_ms(800.0, 1, lambda: 0.0) == 50.0
+
+
+def test_what_runs_at_a_full_origin_is_not_asked_again_at_once() -> None:
+    """Alerts that tried again at once asked the full origin for five times their number."""
+    bench = blind(max_attempts=6)
+    fetch, times = fetch_of(bench.ask(class_name="keyed")), [bench.now]
+    while not finals(actions := bench.answer(fetch, api.Status.BUSY)):
+        assert not only(actions, api.Fetch)
+        while not (sent := only(actions := bench.wait(10.0), api.Fetch)):
+            if finals(actions):
+                break
+        if not sent:
+            break
+        fetch = sent[0]
+        times.append(bench.now)
+    assert 2 <= len(times) <= 4 and times[1] - times[0] >= 40.0
+    # Answered at once when no try is left that could earn anything: late ones are worth nothing here.
+    assert bench.now - times[0] < 700.0 + 50.0 and not bench.router.jobs
+
+
+@pytest.mark.parametrize("class_name", ["films", "keyed"])
+def test_refusals_teach_the_origins_gate_where_nothing_is_told(class_name: str) -> None:
+    bench = blind()
+    for key in range(4):
+        bench.answer(fetch_of(bench.ask(key, class_name)), api.Status.BUSY)
+        bench.wait(300.0)
+    assert bench.router.behind.share < 0.5
+    fetches = [fetch for key in range(100, 200) for fetch in only(bench.ask(key), api.Fetch)]
+    assert sum(fetch.held_only for fetch in fetches) > 40
+
+
+def test_slow_answers_of_what_runs_at_the_origin_tell_of_its_queue() -> None:
+    bench = blind()
+    bench.answer(fetch_of(bench.ask(class_name="keyed")), took_ms=340.0)
+    assert bench.router.behind.share == 1.0
+    bench.answer(fetch_of(bench.ask(class_name="keyed")), took_ms=360.0)
+    assert bench.router.behind.share < 1.0
+
+
+def test_late_answers_of_what_parents_hold_are_not_the_origins_doing() -> None:
+    bench = blind()
+    bench.router.behind.share = bench.router.behind.open_rate = 0.0
+    for key in range(30):
+        for fetch in only(bench.ask(key), api.Fetch):
+            bench.answer(fetch, took_ms=4000.0, note=api.Note.NONE)
+    assert bench.router.fills.share < 0.5
--- a/thornjunction/rules.py
+++ b/thornjunction/rules.py
@@ -15,6 +15,9 @@
 from dataclasses import dataclass
 
 from thornjunction import interface as api
+from thornjunction.estimates import Mean, Usual, mix
+from thornjunction.limits.gates import Gate
+from thornjunction.limits.retries import Retries, wait_ms
 
 HALF_LIFE, KNOWN = 10_000.0, 0.5  # ms, of request counts (the design's); count that makes a copy likely there
 COPIES, SCORES, PURGES = 8192, 512, 4096  # in tables at most; with more purges, everything counts as purged
@@ -25,13 +28,11 @@
 FILLS_LATE, LINK_FULL = 0.8, 0.85  # strain: fills' gate below, their link above
 TICK, HELD_TRIES, SECOND = 50.0, 10, 1000.0  # ms between looks, at so many held requests; between steps of w
 MARGIN = 6.0  # ms before the client's limit at which we answer: a few of a caller's ticks
-RETRY_SHARE, RETRY_DEPTH = 0.5, 20.0  # further attempts for each request, and how many may be saved up
 EJECT_AFTER, EJECT_FIRST, EJECT_LAST = 5, 500.0, 4_000.0  # bad outcomes in a row; ms out
 ERRORS, ONE_RESET = 3, 10.0  # errors after which the request is at fault; ms in which resets are one
-COPIED, CALM = 0.05, 0.8  # of requests that get a copy; of gates, below which none is sent
-USUAL_STEP, USUAL_LEAST = 0.02, 0.2  # of the aim
+CALM = 0.8  # of gates, below which no copy is sent
+PULSE = 0.5  # of the aim: slower answers of what runs at the origin tell of its queue
 SILENT, SILENT_OUT = 500.0, 2  # ms past the sending time without any answer, with so many attempts out
-GATE_CUT, GATE_RAISE, GATE_LEAST = 0.85, 0.04, 0.05  # a fifth late leaves it open, a half late one third
 CHOICES = 2  # caches by hash that a new request may go to: hot objects get a second copy (paper, section 3)
 PACE, BURST, LARGEST = 0.5, 0.2, 0.8  # of a cold server's budget: rate; saved up; one request at most
 FLOW, MISS_SHARE, FAR = 5.0, 0.25, 2.0  # untold: KB a ms; parents' share of work; far first byte, times
@@ -40,52 +41,6 @@
 BROKEN = {api.Note.SOURCE_REFUSED, api.Note.SOURCE_BROKE, api.Note.ORIGIN_FAILED}  # the source's doing
 
 
-def mix(value: int) -> int:
-    """A stable 64-bit mix (the splitmix64 finaliser)."""
-    value = (value + 0x9E3779B97F4A7C15) % (1 << 64)
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) % (1 << 64)
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) % (1 << 64)
-    return value ^ (value >> 31)
-
-
-@dataclass(slots=True)
-class Mean:
-    """A smoothed mean; None until something was seen."""
-
-    gain: float
-    value: float | None = None
-
-    def add(self, sample: float) -> None:
-        self.value = sample if self.value is None else self.value + self.gain * (sample - self.value)
-
-    def get(self, default: float) -> float:
-        return default if self.value is None else self.value
-
-
-class Usual:
-    """Share of the aim within which most answers of a class come: a quantile, moved by each answer."""
-
-    def __init__(self) -> None:
-        self.share = 1.0
-
-    def add(self, over: bool) -> None:
-        self.share = min(max(self.share + USUAL_STEP * (over - COPIED), USUAL_LEAST), 1.0)
-
-
-class Gate:
-    """Lets through a share by the answers in time: it holds for one busy front and for hundreds that have one
-    request out each, as a count would not.  Large requests give way first: more are served for the bytes."""
-
-    def __init__(self) -> None:
-        self.share = 1.0
-
-    def answer(self, late: bool) -> None:
-        self.share = max(GATE_CUT * self.share, GATE_LEAST) if late else min(self.share + GATE_RAISE, 1.0)
-
-    def lets(self, draw: random.Random, weight: float = 1.0) -> bool:
-        return self.share >= 1 or draw.random() < self.share**weight
-
-
 class Placer:
     """Where a score stands among recent ones of its kind, as a rank."""
 
@@ -156,6 +111,7 @@
     ran: Ran
     late: bool = False  # counted as such
     overdue: bool = False
+    held_only: bool = False  # its source gives only what it holds
 
 
 class Job:  # a request that is owed an answer
@@ -169,6 +125,7 @@
         self.out: list[Attempt] = []  # a second one is the copy of a first that takes too long
         self.maybe: Ran | None = None  # the first attempt that may have run
         self.usual, self.most = Usual(), 1  # of its class; attempts
+        self.wake, self.useful = -math.inf, self.deadline if kind.late_worth else now + kind.aim_ms
         self.tried: set[str] = set()  # caches and sources that did not serve it
         self.faults: list[Server] = []  # who answered it with an error
 
@@ -178,6 +135,7 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.random, self.usual, self.sizes = random.Random(seed), dict[str, Usual](), dict[str, Mean]()
+        self.retries = Retries(settings.instances)
         self.adopt(settings)
         self.servers: dict[str, Server] = {}
         self.by_role: dict[api.Role, list[Server]] = {role: [] for role in api.Role}  # edges: of this zone
@@ -190,11 +148,15 @@
         self.counts: dict[int, tuple[float, float, float]] = {}  # by copy: count, at, fetch time or -1
         self.fetch, self.link, self.size = Mean(FAST_GAIN), Mean(FAST_GAIN), Mean(SLOW_GAIN)
         self.load, self.by_cost, self.by_hits = Mean(FAST_GAIN), Placer(), Placer()  # load: ms asked, a ms
-        self.fills, self.behind, self.copies = Gate(), Gate(), Gate()  # behind: parents' own from the origin
+        self.fills, self.behind, self.copies = (
+            Gate(),
+            Gate(),
+            Gate(0.0),
+        )  # behind: parents' own from the origin
         self.purges: dict[tuple[str, int], float] = {}
         self.effects: dict[str, Ran] = {}  # by idempotency key: the first attempt that may have run
         self.now = self.purged_all = -math.inf
-        self.w, self.retries, self.next_token, self.asked = W_START, RETRY_DEPTH, 0, 0.0
+        self.w, self.next_token, self.asked = W_START, 0, 0.0
 
     def adopt(self, settings: api.Settings) -> None:
         """Go by these from now on; a request that is open keeps those that it came under."""
@@ -202,6 +164,7 @@
         s, self.blind = settings, settings.notes is api.Notes.NONE
         edge = (s.cold_share, s.cold_ms, s.fall_multiple, s.zone_fronts.get(s.zone, s.instances), 1.0)
         parent = (s.parent_cold_share, s.parent_cold_ms, s.parent_fall_multiple, s.instances, MISS_SHARE)
+        self.retries.adopt(s.instances)
         self.cold = {api.Role.EDGE: edge, api.Role.PARENT: parent, api.Role.ORIGIN: (1.0, 0.0, 0.0, 1, 0.0)}
         self.classes = {kind.name: kind for kind in settings.classes}
         self.usual = {name: self.usual.get(name, Usual()) for name in self.classes}
@@ -277,7 +240,7 @@
         job.weight, self.asked = job.work / self.size.get(job.work), self.asked + job.mean
         job.usual, job.most = self.usual[kind.name], self.settings.max_attempts
         job.maybe = self.effects.get(job.effect)
-        self.retries = min(self.retries + RETRY_SHARE, RETRY_DEPTH)
+        self.retries.earn()
         job.miss = self.count(job.copy) < KNOWN and not kind.passes
         self.next_token += 1
         self.timers[self.next_token] = job
@@ -295,7 +258,7 @@
             return
         job.out.remove(attempt)
         if job.out and event.final:  # copies pay where the first answer was lost, and not where all are slow
-            self.copies.answer(late=attempt.number < job.out[0].number)
+            self.copies.answer(attempt.number < job.out[0].number, self.now)
         if event.final or event.status is api.Status.DONE:
             return self.close(job)
         if job.out:  # its end decides
@@ -309,18 +272,26 @@
         if not at_source and (not lost or attempt.server.ejected_for or attempt.server in job.faults[:-1]):
             job.tried.add(attempt.server.id)
         # Guards against one bad request that spends all its attempts: what nobody can use is at fault itself.
-        self.give_up(job) if len(job.faults) >= ERRORS else self.dispatch(job)
+        if len(job.faults) >= ERRORS:
+            return self.give_up(job)
+        if event.status is api.Status.BUSY and (self.blind or job.kind.passes):  # at once, it is full still
+            job.wake = self.now + wait_ms(job.kind.aim_ms, job.attempts, self.random.random)
+        self.dispatch(job)
 
     def tick(self) -> None:
         self.actions.append(api.SetTimer(TICK, 0))
-        for request in list(self.held)[:HELD_TRIES]:  # who cannot go yet queues again: none blocks the rest
+        due = [request for request, job in self.held.items() if job.wake <= self.now]
+        for request in due[:HELD_TRIES]:  # who cannot go yet queues again: none blocks the rest
             self.dispatch(self.held.pop(request))
         for attempt in self.flying.values():
             self.judge(attempt, self.now - attempt.sent, api.Note.NONE, done=False)
         for server in dict.fromkeys(attempt.server for attempt in self.flying.values()):
             self.watch(server)
         for attempt in [out for out in self.flying.values() if self.overdue(out)]:
-            if self.copies.lets(self.random) and (cache := self.cache(attempt.job)) is not None:
+            if (
+                self.copies.lets(self.now, self.random.random)
+                and (cache := self.cache(attempt.job)) is not None
+            ):
                 self.send(attempt.job, cache, self.source(attempt.job))
         if self.now - self.stepped >= SECOND:
             asked = self.asked / (self.now - self.stepped)  # under strain clients' repeats swell it
@@ -330,7 +301,7 @@
 
     def step_w(self) -> None:
         """Lean toward d1 when fills slow or fail, toward d2 when the link nears full."""
-        strained = self.fills.share < FILLS_LATE
+        strained = min(self.fills.share, self.behind.share) < FILLS_LATE
         if self.link.value is None and not strained:
             self.w = max(W_START, self.w - W_STEP)
         self.w = min(max(self.w + W_STEP * (strained - (self.link.get(0.0) > LINK_FULL)), 0.0), 1.0)
@@ -385,7 +356,7 @@
         order = [s for s in order if self.may_resend(job, s) and self.within_budget(s, job.mean)]
         able = [s for s in order if s.open_to(self.now)] or [s for s in order if not s.down]
         able = [s for s in able if s.id not in job.tried] or able
-        free = [s for s in able[:CHOICES] if s.gate.lets(self.random, job.weight)]
+        free = [s for s in able[:CHOICES] if s.gate.lets(self.now, self.random.random, job.weight)]
         return next(iter(free or (able if job.attempts > 0 or job.kind.passes else [])), None)
 
     def may_resend(self, job: Job, server: Server) -> bool:
@@ -445,10 +416,12 @@
 
     def dispatch(self, job: Job) -> None:
         """Send the next attempt, or hold the request, or end it."""
-        spent = job.attempts >= job.most or (job.attempts > 0 and self.retries < 1)
+        spent = job.attempts >= job.most or (job.attempts > 0 and not self.retries.any())
         spent = spent or not self.may_note(job)
         if self.now >= job.deadline or spent:
             return self.give_up(job)
+        if job.wake > self.now:  # refused where no try is left that could still earn something
+            return self.held.update({job.id: job}) if job.wake < job.useful else self.give_up(job)
         source = self.source(job)
         straight = job.kind.passes and self.settings.may_bypass and source is not None
         server = source if straight else self.cache(job)
@@ -464,25 +437,26 @@
         Harm: more work where all are slow; so few are sent, and none where a gate has begun to shut."""
         job, usual = attempt.job, attempt.job.usual
         alone = self.settings.may_copy and job.out == [attempt] and self.jobs.get(job.id) is job
-        if not alone or job.kind.safety is not api.Safety.SAFE or self.retries < 1 or job.attempts > 1:
+        if not alone or job.kind.safety is not api.Safety.SAFE or not self.retries.any() or job.attempts > 1:
             return False
         if attempt.overdue or self.now - attempt.sent <= usual.share * job.aim:
             return False
         attempt.overdue = True
         usual.add(True)
         heard = attempt.server.heard > attempt.sent  # else the cache may be cut off: ``watch`` sees to it
-        return heard and min(self.fills.share, attempt.server.gate.share) >= CALM
+        return heard and min(self.fills.share, self.behind.share, attempt.server.gate.share) >= CALM
 
     def send(self, job: Job, server: Server, source: Server | None) -> None:
-        self.retries -= job.attempts > 0
+        self.retries.spend(job.attempts > 0)
         # To the end: fills that are called off are fetched again and feed a jam.  ``watch`` sees to silence.
         passes, left = job.kind.passes, job.deadline - self.now
         # Beyond the fills' gate a cache gives only what it holds, beyond the origin's a parent: they know
         # what one of many fronts cannot.  Misses are refused.  Harm: where the cause has just passed.
-        held_only = not passes and not self.behind.lets(self.random)
-        source = source if passes or self.fills.lets(self.random, job.weight) else None
+        held_only = not passes and not self.behind.lets(self.now, self.random.random)
+        source = source if passes or self.fills.lets(self.now, self.random.random, job.weight) else None
         key, ran = (job.id, job.attempts), (self.now, server.entry)
-        attempt = self.flying[key] = server.out[key] = Attempt(server, source, self.now, job, key[1], ran)
+        attempt = Attempt(server, source, self.now, job, key[1], ran, held_only=held_only)
+        self.flying[key] = server.out[key] = attempt
         job.out.append(attempt)
         job.attempts += 1
         if job.effect:
@@ -503,7 +477,7 @@
         server.eject(self.now)
         for (request, number), attempt in server.out.items():
             safe = request in self.jobs and attempt.job.kind.safety is api.Safety.SAFE
-            if safe and self.settings.may_cancel and self.retries >= 1:
+            if safe and self.settings.may_cancel and self.retries.any():
                 self.actions.append(api.Cancel(request, number))
 
     def learn(self, event: api.Outcome, attempt: Attempt) -> None:
@@ -529,7 +503,7 @@
         if good and not attempt.overdue:
             job.usual.add(False)
         if event.note in (api.Note.FILLED_FROM_ORIGIN, api.Note.ORIGIN_FAILED):
-            self.behind.answer(not good or event.took_ms > job.aim)
+            self.behind.answer(not good or event.took_ms > job.aim, self.now)
         if good or at_source:
             self.judge(attempt, event.took_ms if good else math.inf, event.note, done=True)
         filled = (self.blind and good and job.miss) or event.note in (
@@ -549,12 +523,20 @@
 
     def judge(self, attempt: Attempt, took: float, note: api.Note, done: bool) -> None:
         """In time or late, once for each attempt: late as soon as its aim has passed."""
-        late = took > attempt.job.aim
-        if attempt.job.kind.passes or attempt.late or not (done or late):
+        job = attempt.job
+        late = took > job.aim * (PULSE if job.kind.passes else 1.0)
+        if attempt.late or not (done or late):
             return
         attempt.late = True
-        hit = not attempt.job.miss if note is api.Note.NONE else note is api.Note.HIT
-        (attempt.server.gate if hit or attempt.source is None else self.fills).answer(late)
+        hit = not job.miss if note is api.Note.NONE else note is api.Note.HIT
+        gate = attempt.server.gate if hit or attempt.source is None else self.fills
+        # Where answers do not tell, the origin is among the suspects of each fill, unless only what its
+        # parent holds was asked for; it is the one to blame for a refusal.
+        if job.kind.passes or (self.blind and gate is self.fills and not attempt.held_only):
+            self.behind.answer(late, self.now)
+            if job.kind.passes or took == math.inf:
+                return
+        gate.answer(late, self.now)
 
     def close(self, job: Job) -> None:
         """Forget a request; an attempt that is still out is called off where that saves work."""
