--- /dev/null
+++ b/packages/fleet-membership/src/fleet_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is in the fleet."""
--- /dev/null
+++ b/packages/fleet-modes/src/fleet_modes/__init__.py
@@ -0,0 +1,1 @@
+"""What a router may do in each mode."""
