fleet-membership: SWIM with Lifeguard's local health, anti-entropy, majority and mode

Need: routers have to know who is there, who has failed, and whether they stand with the voters' majority. Change: a machine on the seam. Probes direct and through others, suspicions that shrink with confirmations and grow with this router's own poor health, refutation, rumours bounded by log10 of the fleet, tables compared by digests and exchanged where they differ, also with the failed and with unseen seeds; one-way and flapping links named; a paused process suspects nobody and holds no majority until voters answer again.

--- /dev/null
+++ b/packages/fleet-membership/src/fleet_membership/intake.py
@@ -0,0 +1,99 @@
+"""Datagrams: refused, or taken and answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from fleet_seam import Address
+from fleet_wire import (
+    Ack,
+    Carried,
+    Envelope,
+    Nack,
+    Part,
+    Probe,
+    ProbeFor,
+    RefusedError,
+    Superseded,
+    Sync,
+    to_address,
+)
+
+from fleet_membership.core import Core
+from fleet_membership.judging import Judge
+from fleet_membership.probing import Prober
+from fleet_membership.standing import Standing
+from fleet_membership.sync import Syncer
+
+Inbox = Callable[[float, str, int, bytes], bytes | None]
+"""Another machine's bodies: ``(now, sender, channel, body)`` -> what to answer on the same channel."""
+
+
+class Intake:
+    def __init__(
+        self,
+        core: Core,
+        judge: Judge,
+        prober: Prober,
+        standing: Standing,
+        syncer: Syncer,
+        inbox: Inbox | None,
+    ) -> None:
+        self._core, self._judge, self._prober = core, judge, prober
+        self._standing, self._syncer, self._inbox = standing, syncer, inbox
+
+    def heard(self, now: float, source: Address, data: bytes) -> None:
+        core = self._core
+        try:
+            envelope = core.codec.decode(data)
+        except RefusedError as refused:
+            core.tell("refused", why=refused.code, source=f"{source[0]}:{source[1]}")
+            if refused.envelope is not None:
+                self._supersede(refused.envelope, source)
+            return
+        if envelope.sender == core.name:  # an echo, or another process under this name
+            core.tell("refused", why="own-name", source=f"{source[0]}:{source[1]}")
+            return
+        by_sync = isinstance(envelope.message, Part)
+        for update in envelope.updates:
+            self._judge.learn(now, update, f"told-by-{envelope.sender}", by_sync)
+        member = core.table.get(envelope.sender)
+        if member is None:  # it knows of this router, and so of others perhaps unknown here
+            self._syncer.ask(source)
+        else:
+            member.heard = now
+            self._supersede(envelope, source)
+        self._take(now, source, envelope)
+
+    def _supersede(self, envelope: Envelope, source: Address) -> None:
+        """One that came back under an old incarnation is told so, and will come back above the newest."""
+        core = self._core
+        member = core.table.get(envelope.sender)
+        known = core.codec.window.incarnation(envelope.sender)
+        known = max(known, member.update.incarnation if member else -1)
+        if envelope.incarnation < known and envelope.sender != core.name:
+            core.send(source, Superseded(known))
+
+    def _take(self, now: float, source: Address, envelope: Envelope) -> None:
+        core, sender = self._core, envelope.sender
+        match envelope.message:
+            case Probe(number, target) if target == core.name:
+                core.answer(sender, source, Ack(number))
+            case Ack(number):
+                self._standing.acked(sender, number)
+                seen = self._prober.acked(now, sender, number)
+                if seen is not None:
+                    self._standing.seen(*seen)
+            case Nack(number):
+                self._prober.nacked(sender, number)
+            case ProbeFor() as message:
+                self._prober.run_errand(now, sender, message)
+            case Sync() as message:
+                member = core.table.get(sender)
+                self._syncer.asked(to_address(member.update.place) if member else source, message)
+            case Superseded(incarnation) if incarnation > core.table.own.incarnation:
+                self._judge.take_over(now, incarnation, "superseded")
+            case Carried(channel, body) if self._inbox is not None:
+                answer = self._inbox(now, sender, channel, body)
+                if answer is not None:
+                    core.answer(sender, source, Carried(channel, answer))
--- a/packages/fleet-wire/src/fleet_wire/__init__.py
+++ b/packages/fleet-wire/src/fleet_wire/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fleet_wire.codec import MOST, Codec, RefusedError
+from fleet_wire.codec import MOST, UPDATES_MOST, Codec, RefusedError
 from fleet_wire.messages import (
     DIGEST,
     DIGESTS,
@@ -27,6 +27,7 @@
     "DIGEST",
     "DIGESTS",
     "MOST",
+    "UPDATES_MOST",
     "Ack",
     "Carried",
     "Codec",
