--- a/packages/fleet-membership/tests/test_fleet_membership.py
+++ b/packages/fleet-membership/tests/test_fleet_membership.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
 from fleet_membership import Link, Membership, MembershipSettings, MemberState, Mode
 from fleet_seam import Heard, SetTimer, Started, TimerFired
-from fleet_wire import MOST, Carried, Codec, Probe, Superseded
+from fleet_wire import MOST, Carried, Codec, Part, Probe, Superseded, Update, to_place
 from membership_bench import Bench
 
 ALIVE, SUSPECT, FAILED, LEFT = MemberState
@@ -204,6 +205,46 @@
     assert Codec("fleet", bytes(16)).decode(answer.data).message == Superseded(1)
 
 
+def among_strangers(*names: str) -> tuple[Bench, Callable[..., None]]:
+    """A router among members that say only what the test makes them say."""
+    bench = Bench(1, voters=1)
+    codecs = {name: Codec("fleet", bytes(16)) for name in names}
+
+    def say(sender: str, state: MemberState, *about: str) -> None:
+        for at, name in enumerate(about):
+            by = sender if state is SUSPECT else ""
+            update = Update(name, to_place(("127.0.0.1", 6000 + at)), 1, state, by)
+            data = codecs[sender].encode(sender, 1, Part(), [update])[0]
+            bench.feed("r0", Heard(("127.0.0.1", 9), data))
+
+    say(names[0], ALIVE, *names)
+    return bench, say
+
+
+def test_a_pause_in_a_suspicion_or_a_probe_counts_against_nobody() -> None:
+    bench, say = among_strangers("a", "b", "c", "d", "e")
+    say("b", SUSPECT, "a")
+    bench.run(1100.0)  # a probe is out
+    bench.now += 30_000.0
+    for accuser in "cde":
+        say(accuser, SUSPECT, "a")
+    assert bench.state("a", by="r0") is SUSPECT
+    bench.run(950.0)
+    assert not bench.events("member", why="no-answer")
+    bench.run(40_000.0)  # nobody answers, so this router trusts itself least
+    assert bench.state("a", by="r0") is FAILED
+
+
+def test_every_suspect_is_asked_once_more_before_it_counts_as_failed() -> None:
+    names = "abcdefgh"
+    bench, say = among_strangers(*names)
+    say("a", SUSPECT, *names)
+    bench.sent.clear()
+    bench.run(2000.0)
+    asked = [Codec("fleet", bytes(16)).decode(send.data).message for _, send in bench.sent]
+    assert {message.target for message in asked if isinstance(message, Probe)} == set(names)
+
+
 def test_bytes_a_member_do_not_grow_with_the_fleet() -> None:
     rates = []
     for count in (5, 40):
