--- a/packages/fleet-seam/src/fleet_seam/__init__.py
+++ b/packages/fleet-seam/src/fleet_seam/__init__.py
@@ -68,7 +68,7 @@
 Action = Send | SetTimer | Told
 
 E = TypeVar("E", contravariant=True)
-A = TypeVar("A", covariant=True)
+A = TypeVar("A")
 
 
 class Machine(Protocol[E, A]):
