fleet-membership: doubt, tables exchanged while they differ, halves that meet keep their living

Need: a router that nobody answers suspects others only slowly and kept its majority for a minute; two halves that met declared each other's dead dead and the majority's side lost its majority; 1,000 members starting at once took minutes to know each other. Change: while the local health is not 0 voters are probed each period and have to answer within five; a failed member in another's table is asked itself; exchanges come soon while tables differ, and with strangers once a period; digests and rumours are kept up instead of computed anew.

--- a/packages/fleet-membership/src/fleet_membership/dissemination.py
+++ b/packages/fleet-membership/src/fleet_membership/dissemination.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Sequence
-from heapq import nsmallest
+from itertools import islice
 from math import ceil, log10
 
 from fleet_wire import UPDATES_MOST, MemberState, Update
@@ -11,35 +12,39 @@
 
 class Rumours:
     """An update on a member takes the place of those before; suspicions by several routers stand side by
-    side."""
+    side.  New ones go first, the others in turn."""
 
     def __init__(self, retransmit: float) -> None:
         self._retransmit = retransmit
-        self._told: dict[str, dict[Update, int]] = {}  # by member: how often
+        self._told: OrderedDict[Update, int] = OrderedDict()  # how often
+        self._of: dict[str, list[Update]] = {}
 
     def put(self, update: Update) -> None:
-        told = self._told.get(update.name, {})
-        newest = next(iter(told), update)
-        if (
-            newest.incarnation != update.incarnation
-            or not newest.state == update.state == MemberState.SUSPECT
-        ):
-            told = {}
-        self._told[update.name] = {**told, update: 0}
+        for other in list(self._of.get(update.name, ())):
+            both = other.state == update.state == MemberState.SUSPECT
+            if other == update or not both or other.incarnation != update.incarnation:
+                self._drop(other)
+        self._told[update] = 0
+        self._told.move_to_end(update, last=False)
+        self._of.setdefault(update.name, []).append(update)
 
     def pick(self) -> list[Update]:
-        """As many as a datagram may carry; those told least come first."""
-        pairs = [pair for told in self._told.values() for pair in told.items()]
-        return [update for update, _ in nsmallest(UPDATES_MOST, pairs, key=lambda pair: pair[1])]
+        """As many as a datagram may carry."""
+        return list(islice(self._told, UPDATES_MOST))
 
     def sent(self, updates: Sequence[Update], members: int) -> None:
         """These were told once more; each is forgotten after ``retransmit`` x log10 of the members."""
         most = max(1, ceil(self._retransmit * log10(members + 1)))
         for update in updates:
-            told = self._told.get(update.name, {})
-            if update in told:
-                told[update] += 1
-                if told[update] >= most:
-                    del told[update]
-                if not told:
-                    del self._told[update.name]
+            if update not in self._told:
+                continue
+            self._told[update] += 1
+            self._told.move_to_end(update)
+            if self._told[update] >= most:
+                self._drop(update)
+
+    def _drop(self, update: Update) -> None:
+        del self._told[update]
+        self._of[update.name].remove(update)
+        if not self._of[update.name]:
+            del self._of[update.name]
--- a/packages/fleet-membership/src/fleet_membership/intake.py
+++ b/packages/fleet-membership/src/fleet_membership/intake.py
@@ -54,12 +54,12 @@
         if envelope.sender == core.name:  # an echo, or another process under this name
             core.tell("refused", why="own-name", source=f"{source[0]}:{source[1]}")
             return
-        by_sync = isinstance(envelope.message, Part)
+        table_of = envelope.sender if isinstance(envelope.message, Part) else ""
         for update in envelope.updates:
-            self._judge.learn(now, update, f"told-by-{envelope.sender}", by_sync)
+            self._judge.learn(now, update, f"told-by-{envelope.sender}", table_of)
         member = core.table.get(envelope.sender)
         if member is None:  # it knows of this router, and so of others perhaps unknown here
-            self._syncer.ask(source)
+            self._syncer.meet(now, source)
         else:
             member.heard = now
             self._supersede(envelope, source)
@@ -90,7 +90,7 @@
                 self._prober.run_errand(now, sender, message)
             case Sync() as message:
                 member = core.table.get(sender)
-                self._syncer.asked(to_address(member.update.place) if member else source, message)
+                self._syncer.asked(now, to_address(member.update.place) if member else source, message)
             case Superseded(incarnation) if incarnation > core.table.own.incarnation:
                 self._judge.take_over(now, incarnation, "superseded")
             case Carried(channel, body) if self._inbox is not None:
--- a/packages/fleet-membership/src/fleet_membership/judging.py
+++ b/packages/fleet-membership/src/fleet_membership/judging.py
@@ -9,7 +9,9 @@
 
 from fleet_membership.core import Core
 from fleet_membership.suspicion import Suspicion
-from fleet_membership.table import Member
+from fleet_membership.table import LIVE, Member
+
+HEARD = 5.0  # periods within which one that wrote itself was heard lately
 
 
 class Judge:
@@ -17,20 +19,30 @@
         self._core = core
         self._suspicions: dict[str, Suspicion] = {}
 
-    def learn(self, now: float, update: Update, why: str, by_sync: bool = False) -> None:
-        """Take a claim, by whomever; what changes the table is passed on.  Members first heard of by an
-        exchange of tables are not: the rest of the fleet knows them, or will by exchanges of its own."""
+    def learn(self, now: float, update: Update, why: str, table_of: str = "") -> None:
+        """Take a claim, by whomever; what changes the table is passed on.
+
+        ``table_of`` is the sender where the claim is part of its table.  Members first heard of so are not
+        passed on: the rest of the fleet knows them, or will by exchanges of its own.  One that failed there
+        is told so, if it was heard here lately, and otherwise a suspect here: when two halves meet after a
+        cut, neither shall take the other's dead for dead.
+        """
         core = self._core
         if update.name == core.name:
             self._of_self(now, update)
             return
         before = core.table.get(update.name)
+        if table_of and update.state is MemberState.FAILED and before is not None and before.state in LIVE:
+            if before.heard > now - HEARD * core.settings.probe_every_ms:
+                core.send_member(before, Probe(core.number(), update.name), (update,))
+                return
+            update = replace(update, state=MemberState.SUSPECT, by=table_of)
         was_alive = before is not None and before.state is MemberState.ALIVE
         member = core.table.take(now, update)
         if member is None:
             self._confirm(now, update)
             return
-        if before is not None or not by_sync:
+        if before is not None or not table_of:
             core.rumours.put(update)
         state = update.state.name.lower()
         core.tell("member", name=update.name, state=state, incarnation=update.incarnation, why=why)
--- a/packages/fleet-membership/src/fleet_membership/machine.py
+++ b/packages/fleet-membership/src/fleet_membership/machine.py
@@ -102,11 +102,9 @@
         core.rumours.put(core.table.own)
         self._standing.since = now
         self._standing.begin(now)
+        self._standing.check(now)
         self._prober.tick(now)
-        for seed in core.settings.seeds:
-            if seed != core.settings.address:
-                self._syncer.ask(seed)
-        core.agenda.at(now + core.settings.probe_every_ms, "sync")
+        self._syncer.begin(now)
         core.agenda.at(now + core.settings.tombstone_ms / SWEEPS, "sweep")
 
     def _leave(self, now: float) -> None:
@@ -125,7 +123,8 @@
     def _do(self, now: float, task: Task) -> None:
         core = self._core
         tasks: dict[str, Callable[[], None]] = {
-            "tick": lambda: self._tick(now),
+            "tick": lambda: self._prober.tick(now),
+            "check": lambda: self._standing.check(now),
             "direct": lambda: self._prober.ask_others(now, int(task[1])),
             "errand": lambda: self._prober.errand_due(now, int(task[1])),
             "suspicion": lambda: self._judge.due(now, str(task[1])),
@@ -133,14 +132,10 @@
             "sync": lambda: self._syncer.tick(now, self._standing.majority),
             "sweep": lambda: self._sweep(now),
             "held": core.table.touch,
-            "standing": lambda: None,
+            "stand": lambda: None,
         }
         tasks[task[0]]()
 
-    def _tick(self, now: float) -> None:
-        self._prober.tick(now)
-        self._standing.check()
-
     def _sweep(self, now: float) -> None:
         kept = self._core.settings.tombstone_ms
         self._core.table.sweep(now - kept)
--- a/packages/fleet-membership/src/fleet_membership/sync.py
+++ b/packages/fleet-membership/src/fleet_membership/sync.py
@@ -21,13 +21,14 @@
     def __init__(self, core: Core) -> None:
         self._core = core
         self._rounds = 0
+        self._next_meeting = float("-inf")
+        self._due = float("inf")  # of the next exchange
 
     def tick(self, now: float, majority: bool) -> None:
-        core, settings = self._core, self._core.settings
-        every = settings.sync_every_ms
-        if not majority:
-            every = min(every, EAGER * settings.probe_every_ms)
-        core.agenda.at(now + every * (0.75 + 0.5 * core.draw()), "sync")
+        core = self._core
+        if now < self._due:
+            return  # it was brought forward, and done
+        self._plan(now, eager=not majority)
         self._rounds += 1
         live = [to_address(m.update.place) for m in core.table.others(*LIVE)]
         lost = self._lost(live)
@@ -41,11 +42,27 @@
     def ask(self, peer: Address) -> None:
         self._core.send(peer, Sync(self._core.table.digests(), answer=False), (self._core.table.own,))
 
-    def asked(self, peer: Address, message: Sync) -> None:
+    def meet(self, now: float, peer: Address) -> None:
+        """Exchange tables with one that is not known, at most one in a period."""
+        if now >= self._next_meeting:
+            self._next_meeting = now + self._core.settings.probe_every_ms
+            self.ask(peer)
+
+    def begin(self, now: float) -> None:
+        """Ask the seeds, and go on from there."""
+        for seed in self._core.settings.seeds:
+            if seed != self._core.settings.address:
+                self.ask(seed)
+        self._plan(now, eager=True)
+
+    def asked(self, now: float, peer: Address, message: Sync) -> None:
+        """Send what differs.  While tables do, the next exchange comes soon."""
         core = self._core
         told = core.table.differing(message.digests)
         if not told:
             return
+        if self._due > now + EAGER * core.settings.probe_every_ms:
+            self._plan(now, eager=True)
         start = int(core.draw() * len(told))  # what finds no room this time may the next
         told = told[start:] + told[:start]
         for _ in range(PARTS_MOST):
@@ -55,6 +72,14 @@
         if not message.answer:
             core.send(peer, Sync(core.table.digests(), answer=True), (core.table.own,))
 
+    def _plan(self, now: float, eager: bool) -> None:
+        settings = self._core.settings
+        every = settings.sync_every_ms
+        if eager:
+            every = min(every, EAGER * settings.probe_every_ms)
+        self._due = now + every * (0.75 + 0.5 * self._core.draw())
+        self._core.agenda.at(self._due, "sync")
+
     def _lost(self, live: list[Address]) -> list[Address]:
         core = self._core
         failed = [to_address(m.update.place) for m in core.table.others(MemberState.FAILED)]
--- a/packages/fleet-membership/src/fleet_membership/table.py
+++ b/packages/fleet-membership/src/fleet_membership/table.py
@@ -59,8 +59,9 @@
         self.version = 0
         self._most = most
         self._members = {own.name: Member(own, 0.0)}
-        self._digests: tuple[int, bytes] = (-1, b"")
-        self._live: tuple[int, int] = (-1, 0)
+        self._sums = [0] * DIGESTS
+        self._live = 0
+        self._count(own, 1)
 
     def __len__(self) -> int:
         return len(self._members)
@@ -84,9 +85,7 @@
         self.version += 1
 
     def live(self) -> int:
-        if self._live[0] != self.version:
-            self._live = self.version, sum(m.state in LIVE for m in self._members.values())
-        return self._live[1]
+        return self._live
 
     def take(self, now: float, update: Update) -> Member | None:
         """The member, where the claim changes the table.  Nobody is known only as failed or left."""
@@ -95,10 +94,13 @@
             if update.state not in LIVE or len(self._members) >= self._most:
                 return None
             member = self._members[update.name] = Member(update, now)
+            self._count(update, 1)
         else:
             known = member.update
             if (update.incarnation, update.state) <= (known.incarnation, known.state):
                 return None
+            self._count(known, -1)
+            self._count(update, 1)
             member.update, member.changed = update, now
         self.version += 1
         return member
@@ -113,16 +115,7 @@
     def digests(self) -> bytes:
         """Of the live members' names and incarnations, by bucket: suspicions come and go, tombstones expire
         at each router's own time, and neither shall set off an exchange."""
-        if self._digests[0] != self.version:
-            sums = [0] * DIGESTS
-            for member in self._members.values():
-                if member.state in LIVE:
-                    update = member.update
-                    text = f"{update.name} {update.incarnation}".encode()
-                    digest = blake2b(text, digest_size=DIGEST).digest()
-                    sums[bucket_of(update.name)] ^= int.from_bytes(digest, "big")
-            self._digests = self.version, b"".join(one.to_bytes(DIGEST, "big") for one in sums)
-        return self._digests[1]
+        return b"".join(one.to_bytes(DIGEST, "big") for one in self._sums)
 
     def differing(self, digests: bytes) -> list[Update]:
         """All that is known of the buckets that differ."""
@@ -130,3 +123,11 @@
         cuts = [slice(at * DIGEST, (at + 1) * DIGEST) for at in range(DIGESTS)]
         apart = {at for at, cut in enumerate(cuts) if own[cut] != digests[cut]}
         return [m.update for m in self._members.values() if bucket_of(m.update.name) in apart]
+
+    def _count(self, update: Update, by: int) -> None:
+        """Add a live member to the number and the digests of the live, or take it out again."""
+        if update.state in LIVE:
+            self._live += by
+            text = f"{update.name} {update.incarnation}".encode()
+            digest = blake2b(text, digest_size=DIGEST).digest()
+            self._sums[bucket_of(update.name)] ^= int.from_bytes(digest, "big")
