--- /dev/null
+++ b/packages/fleet-sim/src/fleet_sim/__main__.py
@@ -0,0 +1,3 @@
+from .command import main
+
+raise SystemExit(main())
--- a/packages/fleet-sim/src/fleet_sim/world.py
+++ b/packages/fleet-sim/src/fleet_sim/world.py
@@ -29,9 +29,12 @@
     """A check failed: which, where, when (simulated ms), and why."""
 
     def __init__(self, check: str, at: float, node: str, why: str) -> None:
-        super().__init__(f"{check} at {at:.1f} ms at {node or 'the end'}: {why}")
+        super().__init__(check, at, node, why)
         self.check, self.at, self.node, self.why = check, at, node, why
 
+    def __str__(self) -> str:
+        return f"{self.check} at {self.at:.1f} ms at {self.node or 'the end'}: {self.why}"
+
 
 class Invariant(Protocol):
     """Must hold after every event that any node handled; may keep state of its own for one run."""
@@ -64,6 +67,7 @@
         self.log: list[Entry] = []
         self.listeners: list[Callable[[Node, Told], None]] = []
         self.topology = 0  # grows with every change of a link or of a process
+        self.link_since: dict[Link, float] = {}  # when a link last broke or healed
         self.stormy: set[str] = set()  # faults that last now
         self.calm_since = 0.0  # when the last of them ended
         self._factory = factory
@@ -181,6 +185,7 @@
     def _links(self, links: list[Link], kind: Kind) -> None:
         self.topology += 1
         for source, target in links:
+            self.link_since[source, target] = self.now
             self.note(kind, "cut" if kind is Kind.BROKEN else "healed", source, target)
 
     def _handle(self, node: Node, event: Any) -> None:
--- a/packages/fleet-sim/tests/gossip_machine.py
+++ b/packages/fleet-sim/tests/gossip_machine.py
@@ -38,7 +38,7 @@
         return [Told("bye")] if isinstance(event, Leaving) else []
 
     def _merge(self, data: bytes) -> list[Action]:
-        if "trusts" not in self.flaws and not data.startswith(b"{"):
+        if "trusts" not in self.flaws and not data.startswith(b'{"'):
             return []
         told: list[Action] = []
         for name, lives in json.loads(data).items():
