--- a/packages/fleet-sim/src/fleet_sim/membership.py
+++ b/packages/fleet-sim/src/fleet_sim/membership.py
@@ -16,6 +16,7 @@
 from .node import Disk
 from .run import Subject
 from .scenario import Scenario
+from .world import address_of
 
 VOTERS = 5  # at most, in a drawn fleet
 SETTLE_MS = 60_000.0
@@ -77,14 +78,12 @@
     """A fleet of these names; `foreign` ones hold another secret, `timings` are of MembershipSettings."""
     voters = voters or names[:VOTERS]
     shares = ShareSettings(tuple(name for name in names if name not in foreign), voters)
-    seeds: list[Address] = []
+    seeds = tuple(address_of(names.index(name)) for name in voters)
 
     def build(name: str, address: Address, incarnation: int, draw: Draw, disk: Disk) -> Router:
-        if not any(address == seed for seed in seeds) and len(seeds) < len(voters):
-            seeds.append(address)
         secret = b"another secret of theirs" if name in foreign else b"the secret of the fleet"
         settings = MembershipSettings(
-            name, address, "fleet", secret, tuple(seeds), voters, incarnation, **_typed(timings or {})
+            name, address, "fleet", secret, seeds, voters, incarnation, **_typed(timings or {})
         )
         return Router(settings, shares, draw)
 
--- a/packages/fleet-sim/src/fleet_sim/node.py
+++ b/packages/fleet-sim/src/fleet_sim/node.py
@@ -14,6 +14,7 @@
 
 BACKLOG = 128  # datagrams that wait at a paused process; later ones are lost, as in a full socket buffer
 DRIFT = 5e-4  # the fastest and slowest clock, as a share of true time
+TICK_MS = 0.05  # no timer fires sooner: time goes on while a process works
 ZERO_MS = 1e6  # clocks start anywhere below this
 
 
@@ -83,7 +84,7 @@
     def due(self, now: float, in_ms: float) -> float:
         """World time at which a timer fires: by the node's own rate, and late if a fault says so."""
         late = max(self.late.values(), default=0.0)
-        return now + in_ms / self._rate + (late * self.fate() if late else 0.0)
+        return now + max(in_ms, TICK_MS) / self._rate + (late * self.fate() if late else 0.0)
 
     def hold(self, event: Any) -> bool:
         """Keep an event for the end of a pause; False when the backlog is full and it is lost."""
--- a/packages/fleet-sim/src/fleet_sim/world.py
+++ b/packages/fleet-sim/src/fleet_sim/world.py
@@ -20,6 +20,7 @@
 
 LARGEST = 256  # bytes of a datagram
 ANY_LIFE = -1
+SPIN = 100_000  # steps within one ms that no sound machine makes
 
 Carry = Callable[["World", Node, Any], None]  # carries out an action of a package's own
 Describe = Callable[[bytes], str]  # a message of note in few words; "" for all others
@@ -63,7 +64,7 @@
         self.now = 0.0
         self.steps = 0
         self.network = Network(base)
-        self.nodes = {name: Node(name, _address(index), seed) for index, name in enumerate(names)}
+        self.nodes = {name: Node(name, address_of(index), seed) for index, name in enumerate(names)}
         self.log: list[Entry] = []
         self.listeners: list[Callable[[Node, Told], None]] = []
         self.topology = 0  # grows with every change of a link or of a process
@@ -77,6 +78,7 @@
         self._by_address = {node.address: node for node in self.nodes.values()}
         self._queue: list[tuple[float, int, Node | None, int, Any]] = []
         self._pushed = 0
+        self._spin = (0.0, 0)  # since when, and the steps by then
 
     # -- time
 
@@ -190,6 +192,7 @@
 
     def _handle(self, node: Node, event: Any) -> None:
         self.steps += 1
+        self._look_for_spin(node)
         if node.machine is None:
             return
         try:
@@ -205,6 +208,12 @@
             if why_not is not None:
                 raise Violation(invariant.name, self.now, node.name, why_not)
 
+    def _look_for_spin(self, node: Node) -> None:
+        if self.now > self._spin[0] + 1:
+            self._spin = (self.now, self.steps)
+        elif self.steps - self._spin[1] > SPIN:
+            raise Violation("spins", self.now, node.name, f"{SPIN} steps within a ms")
+
     def _act(self, node: Node, action: Any) -> None:
         kind = type(action)
         if kind is Send:
@@ -241,5 +250,6 @@
             self._push(self.now + delay, target, ANY_LIFE, Heard(node.address, send.data))
 
 
-def _address(index: int) -> Address:
+def address_of(index: int) -> Address:
+    """Where the node of that place among the names listens."""
     return f"10.{index >> 16}.{(index >> 8) & 255}.{index & 255}", 7000
