--- a/packages/fleet-sim/src/fleet_sim/faults.py
+++ b/packages/fleet-sim/src/fleet_sim/faults.py
@@ -232,7 +232,7 @@
     from_ms: float = 4_000.0
     until_ms: float = 14_000.0
     most_faults: int = 6
-    longest_ms: float = 10_000.0
+    longest_ms: float = 20_000.0
     kinds: tuple[str, ...] = field(default_factory=lambda: tuple(KINDS))
 
 
@@ -245,7 +245,7 @@
 
 def _draw_fault(draw: random.Random, names: tuple[str, ...], weather: Weather) -> Fault:
     at = round(draw.uniform(weather.from_ms, weather.until_ms), 1)
-    lasts = round(min(weather.longest_ms, 100 + draw.expovariate(3 / weather.longest_ms)), 1)
+    lasts = round(min(weather.longest_ms, 100 + draw.expovariate(4 / weather.longest_ms)), 1)
     return KINDS[draw.choice(weather.kinds)](draw, names, at, lasts)
 
 
--- a/packages/fleet-sim/src/fleet_sim/membership.py
+++ b/packages/fleet-sim/src/fleet_sim/membership.py
@@ -8,7 +8,7 @@
 from fleet_membership import Membership, MembershipSettings
 from fleet_modes import CHANNEL, ShareKeeper, ShareSettings
 from fleet_seam import Action, Address, Draw, Event, Leaving, SetTimer, Started, TimerFired
-from fleet_wire import Envelope, MemberState, Nack, ProbeFor, Superseded
+from fleet_wire import Envelope, MemberState, Part, ProbeFor, Superseded
 from msgspec import DecodeError, msgpack
 
 from .membership_checks import GONE, FalseVerdicts, Ordered, SharesFit, Sides, settled
@@ -108,7 +108,7 @@
 
 
 def describe(data: bytes) -> str:
-    """Claims of harm, and probes through others; all else is of no note."""
+    """Probes through others, claims of harm that go alone, old lives; all else is of no note."""
     try:
         envelope = _decoder.decode(data[HEAD:-TAG])
     except (DecodeError, ValueError):
@@ -119,10 +119,12 @@
     match envelope.message:
         case ProbeFor(target=target):
             claims.insert(0, f"probe {target}")
-        case Nack():
-            claims.insert(0, "nack")
         case Superseded():
             claims.insert(0, "superseded")
+        case Part():
+            pass
+        case _:
+            return ""
     return " ".join(claims)
 
 
--- a/packages/fleet-sim/src/fleet_sim/membership_checks.py
+++ b/packages/fleet-sim/src/fleet_sim/membership_checks.py
@@ -17,9 +17,9 @@
     from .membership import Router
 
 GONE = (MemberState.FAILED, MemberState.LEFT)
-STEADY_MS = 40_000.0  # both run and reach each other for so long: a verdict of failure is false
-CALM_MS = 40_000.0  # no fault for so long: it is a violation as well
-SIDE_MS = 40_000.0  # by then a side without most voters must know it
+STEADY_MS = 5_000.0  # both run and reach each other for so long: a verdict of failure is false
+CALM_MS = 15_000.0  # and all that run reach the member for so long: it is a violation as well
+SIDE_MS = 15_000.0  # by then a side without most voters must know it
 EPSILON = 1e-9
 
 
@@ -96,9 +96,10 @@
 
 
 class FalseVerdicts:
-    """No verdict of failure about a member in steady reach, when no fault has worked for CALM_MS.
+    """No verdict of failure about a member that all who run have reached for CALM_MS, on quiet links.
 
-    `count` counts all verdicts, and those about members in steady reach, whatever else works.
+    `count` counts all verdicts, and those about members that their judge has reached for STEADY_MS,
+    whatever noise or lag there is.
     """
 
     name = "false verdict"
@@ -108,14 +109,12 @@
 
     def check(self, world: World, node: Node) -> str | None:
         fresh, self._read = world.log[self._read :], len(world.log)
-        if world.calm_for() < CALM_MS:
-            return None
         for entry in fresh:
             word = entry.text.split(" ")
-            if word[0] == "member" and word[2] == "failed":
-                other = world.nodes.get(word[1])
-                if other and steady_ms(world, node, other) >= CALM_MS:
-                    return f"{word[1]} failed, in steady reach"
+            if word[0] == "member" and word[2] == "failed" and word[1] in world.nodes:
+                other = world.nodes[word[1]]
+                if not world.network.noisy and not other.late and _reached_by_all(world, other):
+                    return f"{word[1]} failed, and all reach it"
         return None
 
     @staticmethod
@@ -132,6 +131,11 @@
         world.listeners.append(listen)
 
 
+def _reached_by_all(world: World, node: Node) -> bool:
+    others = [other for other in world.nodes.values() if other.running and other is not node]
+    return all(steady_ms(world, other, node) >= CALM_MS for other in others)
+
+
 class SharesFit:
     """The shares of all processes that exist never add up to more than one; a paused one's are held still."""
 
--- a/packages/fleet-sim/src/fleet_sim/play.py
+++ b/packages/fleet-sim/src/fleet_sim/play.py
@@ -50,15 +50,12 @@
         self._open = [(line, node) for line in self._lines for node in line.nodes]
 
     def meet(self, node: str, text: str) -> Expected | None:
-        """The line that this entry meets, if one: the first of its node, or (`then`) of all, still open."""
+        """The line that this entry meets, if one: a `then` only when all lines above it are met."""
         for index, (line, wanted) in enumerate(self._open):
-            if wanted != node:
-                continue
             early = line.ordered and any(other.line < line.line for other, _ in self._open[:index])
-            if early or not line.fits(node, text):
-                return None
-            del self._open[index]
-            return line
+            if wanted == node and not early and line.fits(node, text):
+                del self._open[index]
+                return line
         return None
 
     def missing(self, world: World, subject: Subject) -> list[str]:
