fleet-membership: no timer shorter than 0.01 ms

Need: a timer that fires within the clock's resolution before its time is asked for again, and two such clocks could spin. Change: a least time for every timer asked for.

--- a/packages/fleet-membership/src/fleet_membership/agenda.py
+++ b/packages/fleet-membership/src/fleet_membership/agenda.py
@@ -7,6 +7,7 @@
 
 from fleet_seam import SetTimer
 
+LEAST = 0.01  # ms of a timer: one that fires a little early is asked for again, and must not spin
 Task = tuple[str, int | str]  # what, and on which number or name
 
 
@@ -45,4 +46,4 @@
             return []
         self._woken = self._heap[0][0]
         self._token = self._serial = self._serial + 1
-        return [SetTimer(max(0.0, self._woken - now), self._token)]
+        return [SetTimer(max(LEAST, self._woken - now), self._token)]
