--- a/packages/fleet-sim/src/fleet_sim/command.py
+++ b/packages/fleet-sim/src/fleet_sim/command.py
@@ -38,6 +38,7 @@
     parser.add_argument("--seed", type=int, help="this one alone, with its timeline")
     parser.add_argument("--nodes", type=int, default=5)
     parser.add_argument("--faults", type=int, default=Weather().most_faults, help="faults a seed, at most")
+    parser.add_argument("--longest-ms", type=float, default=Weather().longest_ms, help="of a fault")
     parser.add_argument("--kinds", default=",".join(KINDS), help="which faults are drawn")
     parser.add_argument("--jobs", type=int, default=1, help="processes that share the seeds")
     parser.add_argument(
@@ -50,7 +51,8 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Exit status 1 if a seed fails."""
     args = _parser().parse_args(arguments)
-    weather = Weather(most_faults=args.faults, kinds=tuple(args.kinds.split(",")))
+    kinds = tuple(args.kinds.split(","))
+    weather = Weather(most_faults=args.faults, longest_ms=args.longest_ms, kinds=kinds)
     subject = resolve_name(args.subject)(node_names(args.nodes))
     if args.seed is not None:
         outcome = run(subject, drawn_plan(args.seed, args.nodes, weather), trace=True)
--- a/packages/fleet-sim/src/fleet_sim/membership_checks.py
+++ b/packages/fleet-sim/src/fleet_sim/membership_checks.py
@@ -19,7 +19,7 @@
 GONE = (MemberState.FAILED, MemberState.LEFT)
 STEADY_MS = 5_000.0  # both run and reach each other for so long: a verdict of failure is false
 CALM_MS = 15_000.0  # and all that run reach the member for so long: it is a violation as well
-SIDE_MS = 20_000.0  # by then a side without most voters must know it
+SIDE_MS = 12_000.0  # by then a side without most voters must know it
 EPSILON = 1e-9
 
 
