--- /dev/null
+++ b/packages/fleet-rig/src/fleet_rig/files.py
@@ -0,0 +1,74 @@
+"""What a router of the rig reads: the platform's configuration on the demo's stand-ins, and an operators'
+file with its ``[fleet]`` section."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from thornjunction.demo.standins import DemoDiscovery, DemoShelf
+from thornjunction.demo.start import SETTINGS, free_port, listen
+
+from fleet_rig.relay import Address
+
+TIMINGS: Mapping[str, float] = {
+    "probe_every_ms": 200,
+    "probe_timeout_ms": 80,
+    "suspicion_least_ms": 600,
+    "suspicion_most_ms": 2400,
+    "sync_every_ms": 500,
+}  # a failure is found in one to three seconds, and a busy machine does not look like one
+
+
+def start_standins(reactor: Any) -> int:
+    """An edge, an origin and a discovery service that lists them, on free ports; the port of the last."""
+    hosts = [
+        {"host": name, "dial": f"127.0.0.1:{listen(reactor, DemoShelf)}", "site": "demo"}
+        | {"class": kind, "health": "active"}
+        for name, kind in (("edge1", "box"), ("origin", "root"))
+    ]
+    return listen(reactor, lambda: DemoDiscovery(hosts, reactor))
+
+
+def write_config(folder: Path, name: str, channel: int) -> Address:
+    """The platform's file; where the operators' door will be.  The ports were free a moment ago: a router that
+    can't have one says so and is started again."""
+    door = free_port()
+    told = {
+        "name": name,
+        "listen": f"127.0.0.1:{free_port()}",
+        "admin_addr": f"127.0.0.1:{door}",
+        "channel": f"127.0.0.1:{channel}",
+        "settings": SETTINGS,
+        "limits": {"sockets": 90},
+        "known": {"cursor": 0, "cmds": []},
+    }
+    (folder / "config.json").write_text(json.dumps(told))
+    return "127.0.0.1", door
+
+
+def write_extras(
+    folder: Path,
+    public: Address,
+    seeds: Sequence[Address],
+    voters: Sequence[str],
+    secret: bytes,
+    timings: Mapping[str, float],
+) -> None:
+    """The operators' file.  The router's own port is any: the others know its public address."""
+    (folder / "fleet.key").write_bytes(secret)
+    lines = [
+        "[fleet]",
+        'listen = "127.0.0.1:0"',
+        f'advertise = "{public[0]}:{public[1]}"',
+        'fleet = "rig"',
+        'secret_file = "fleet.key"',
+        f"seeds = {json.dumps([f'{host}:{port}' for host, port in seeds])}",
+        f"voters = {json.dumps(list(voters))}",
+        'data = "data"',
+        "[fleet.timings]",
+        *(f"{name} = {value}" for name, value in timings.items()),
+    ]
+    (folder / "extras.toml").write_text("\n".join(lines) + "\n")
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,106 @@
+"""The operators' ``[fleet]`` section, and the incarnation kept across restarts."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from thornjunction.runtime import incarnation
+from thornjunction.runtime.config import ConfigError
+from thornjunction.runtime.extras import load_extras
+from thornjunction.runtime.incarnation import STRIDE, next_incarnation
+
+FULL: dict[str, Any] = {
+    "listen": "127.0.0.1:8500",
+    "fleet": "north",
+    "secret_file": "key",
+    "seeds": ["127.0.0.1:8501"],
+    "voters": ["r1", "r2", "r3"],
+    "data": "data",
+}
+
+
+def written(folder: Path, secret: bytes = b"s" * 32, **more: Any) -> Path:
+    """An operators' file with a whole section, but for what is given."""
+    told = FULL | more
+    lines = ["[fleet]", *(f"{key} = {value!r}" for key, value in told.items() if value is not None)]
+    (folder / "key").write_bytes(secret)
+    path = folder / "extras.toml"
+    path.write_text("\n".join(lines).replace("True", "true").replace("{'", "{").replace("':", " ="))
+    return path
+
+
+def test_a_whole_section_is_taken(tmp_path: Path) -> None:
+    told = load_extras(written(tmp_path, timings={"probe_every_ms": 200})).fleet
+    assert told is not None and told.advertise == told.listen == ("127.0.0.1", 8500)
+    assert (told.fleet, told.name, told.data) == ("north", "", tmp_path / "data")
+    assert told.timings == {"probe_every_ms": 200.0} and told.voters == ("r1", "r2", "r3")
+    assert "sss" not in repr(told)
+
+
+@pytest.mark.parametrize(
+    ("more", "names"),
+    [
+        ({"listen": "10.0.0.4:8500"}, "fleet.listen"),
+        ({"listen": "0.0.0.0:8500", "private": True}, "fleet.listen"),
+        ({"listen": "127.0.0.1:0"}, "fleet.listen"),
+        ({"listen": "10.0.0.4:0", "advertise": "127.0.0.1:8500"}, "fleet.listen"),
+        ({"seeds": ["8.8.8.8:1"], "private": True}, "fleet.seeds"),
+        ({"secret": b"s" * 31}, "fleet.secret_file"),
+        ({"secret_file": "none"}, "fleet.secret_file"),
+        ({"voters": ["r1", "r1"]}, "fleet.voters"),
+        ({"voters": []}, "fleet.voters"),
+        ({"fleet": None}, "fleet"),
+        ({"timings": {"probe_every_ms": 0}}, "fleet.timings.probe_every_ms"),
+        ({"timings": {"indirect": 99}}, "fleet.timings.indirect"),
+    ],
+)
+def test_a_faulty_section_is_named(more: dict[str, Any], names: str, tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=names):
+        load_extras(written(tmp_path, **more))
+
+
+def test_private_addresses_only_where_the_operators_say_so(tmp_path: Path) -> None:
+    path = written(tmp_path, listen="10.0.0.4:8500", private=True, advertise="10.0.0.5:8501")
+    told = load_extras(path).fleet
+    assert told is not None and (told.listen, told.advertise) == (("10.0.0.4", 8500), ("10.0.0.5", 8501))
+
+
+def life(folder: Path, now: float = 5e6, fleet: str = "north", name: str = "r1") -> int:
+    return next_incarnation(folder, fleet, name, lambda: now)
+
+
+def test_each_life_has_a_higher_incarnation(tmp_path: Path) -> None:
+    """Also where the clock stands or was set back; and the file holds what was taken."""
+    folder = tmp_path / "data"
+    first, second, third, fourth = (life(folder, now) for now in (5e6, 5e6, 4e6, 9e6))
+    assert (first, second, third, fourth) == (5_000_000, first + STRIDE, second + STRIDE, 9_000_000)
+
+
+NEWER = {"format": 2, "fleet": "north", "name": "r1", "incarnation": 1}
+SPOILT: dict[str, Any] = {
+    "missing": lambda path: path.unlink(),
+    "torn": lambda path: path.write_bytes(path.read_bytes()[:20]),
+    "of another": lambda path: life(path.parent, 1e9, name="r2"),
+    "of format": lambda path: incarnation._write(
+        path, {"format": 2, "fleet": "", "name": "", "incarnation": 1}
+    ),
+    "not an inc": lambda path: incarnation._write(path, {"format": 1}),
+}
+
+
+@pytest.mark.parametrize("spoilt", SPOILT)
+def test_a_file_that_can_not_be_used_is_named_and_the_clock_stands_in(spoilt: str, tmp_path: Path) -> None:
+    life(tmp_path, 5e6)
+    SPOILT[spoilt](tmp_path / "incarnation")
+    with pytest.raises(incarnation.IncarnationError, match=spoilt):
+        incarnation._read(tmp_path / "incarnation", "north", "r1")
+    assert life(tmp_path, 6e6) == 6_000_000
+    assert life(tmp_path, 6e6) == 6_000_000 + STRIDE
+
+
+def test_a_folder_that_can_not_be_written_costs_no_start(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    assert life(tmp_path / "file", 6e6) == 6_000_000
--- a/thornjunction/cli.py
+++ b/thornjunction/cli.py
@@ -33,10 +33,11 @@
 
 
 @main.command()
-def run() -> None:
+@EXTRAS_OPTION
+def run(extras: Path) -> None:
     """Serve until SIGTERM; the configuration is the file that PROXY_CONFIG names, and without it a demo
     with stand-in shelfs on loopback."""
-    sys.exit(serve_or_demo(os.environ))
+    sys.exit(serve_or_demo(os.environ, extras))
 
 
 @main.command()
--- a/thornjunction/net/wire/operators.py
+++ b/thornjunction/net/wire/operators.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from thornjunction.net.wire import ProtocolError
 
@@ -29,7 +29,11 @@
     return f"{YES if yes else NO} {why}".strip().encode() + b"\n"
 
 
-def encode_figures(figures: Mapping[str, int]) -> bytes:
-    """The figures, one a line, and the line that ends them."""
-    lines = [f"{PREFIX}.{name}={value}" for name, value in figures.items()]
+def encode_lines(lines: Iterable[str]) -> bytes:
+    """A yes, the lines, and the line that ends them."""
     return "".join(f"{line}\n" for line in (YES, *lines, END)).encode()
+
+
+def encode_figures(figures: Mapping[str, int]) -> bytes:
+    """The figures, one a line."""
+    return encode_lines(f"{PREFIX}.{name}={value}" for name, value in figures.items())
--- a/thornjunction/runtime/extras.py
+++ b/thornjunction/runtime/extras.py
@@ -9,7 +9,7 @@
 from importlib.util import find_spec
 from ipaddress import ip_address
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from joserfc.errors import JoseError
 from joserfc.jwk import ECKey, OctKey
@@ -21,6 +21,9 @@
 from thornjunction.signing.replay import ReplayWindow
 from thornjunction.signing.tokens import ALGORITHMS, Key, SigningKey, Trust
 
+if TYPE_CHECKING:
+    from thornjunction.runtime.fleet_settings import FleetSettings
+
 
 @dataclass(frozen=True, slots=True)
 class KeySource:
@@ -92,6 +95,7 @@
 
     signed: SignedFront | None = None
     metrics: MetricsTargets | None = None
+    fleet: FleetSettings | None = None
 
 
 def load_extras(path: Path) -> Extras:
@@ -103,11 +107,20 @@
         return Extras(
             signed=_signed(top, path.parent) if "signed" in top.data else None,
             metrics=_metrics(top.below("metrics")) if "metrics" in top.data else None,
+            fleet=_fleet(top, path.parent) if "fleet" in top.data else None,
         )
     except (OSError, tomllib.TOMLDecodeError, WireError) as error:
         raise ConfigError(f"{path.name}: {error}") from error
 
 
+def _fleet(top: Params, folder: Path) -> FleetSettings:
+    from thornjunction.runtime.fleet_settings import read_fleet
+
+    if find_spec("fleet_membership") is None:
+        raise ConfigError("fleet: its packages are not installed (packages/)")
+    return read_fleet(top.below("fleet"), folder)
+
+
 def _signed(top: Params, folder: Path) -> SignedFront:
     front = top.below("signed")
     listen = address_of("signed.listen", front.get("listen", str))
--- /dev/null
+++ b/thornjunction/runtime/fleet_settings.py
@@ -0,0 +1,90 @@
+"""The ``[fleet]`` section of the operators' file: read and checked; messages name the faulty key.  Imported
+only where the file has one."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from ipaddress import ip_address
+from pathlib import Path
+
+from thornjunction.runtime.config import ConfigError, address_of
+from thornjunction.settings import Params
+
+Address = tuple[str, int]
+LEAST_SECRET = 32  # bytes
+MOST_MS, MOST_INDIRECT = 600_000.0, 16
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """Which fleet this router is of, where it listens, and whom it asks first.  ``advertise`` is where the
+    others reach it; ``name`` is empty where the router's own counts; ``timings`` in ms (``indirect`` is a
+    count) override the machine's defaults."""
+
+    listen: Address
+    advertise: Address
+    name: str
+    fleet: str
+    secret: bytes = field(repr=False)
+    seeds: tuple[Address, ...]
+    voters: tuple[str, ...]
+    data: Path
+    timings: Mapping[str, float]
+
+
+def read_fleet(params: Params, folder: Path) -> FleetSettings:
+    """The section's settings, paths relative to the file's folder; ConfigError or WireError otherwise."""
+    private = params.get("private", bool, False)
+    place, told = params.get("listen", str), params.get("advertise", str, "")
+    if told and place.endswith(":0"):  # any free port: the others know the one advertised
+        listen = _address("fleet.listen", place.removesuffix("0") + "1", private)[0], 0
+    else:
+        listen = _address("fleet.listen", place, private)
+    advertise = _address("fleet.advertise", told, private) if told else listen
+    settings = FleetSettings(
+        listen,
+        advertise,
+        name=params.get("name", str, ""),
+        fleet=params.get("fleet", str),
+        secret=_secret(folder / params.get("secret_file", str)),
+        seeds=tuple(_address("fleet.seeds", str(seed), private) for seed in params.get("seeds", list)),
+        voters=tuple(str(voter) for voter in params.get("voters", list)),
+        data=folder / params.get("data", str),
+        timings=_timings(params.below("timings")) if "timings" in params.data else {},
+    )
+    if not settings.fleet or not settings.voters:
+        raise ConfigError("fleet.fleet, fleet.voters: empty")
+    if len(set(settings.voters)) < len(settings.voters):
+        raise ConfigError("fleet.voters: one name twice")
+    return settings
+
+
+def _address(key: str, text: str, private: bool) -> Address:
+    """Loopback, or private where the operators say so; never public, and never all addresses at once."""
+    host, port = address_of(key, text)
+    ip = ip_address(host)
+    if not ip.is_loopback and not (private and ip.is_private and not ip.is_unspecified):
+        raise ConfigError(f"{key}: not a loopback address" + (" nor a private one" if private else ""))
+    return host, port
+
+
+def _secret(path: Path) -> bytes:
+    try:
+        secret = path.read_bytes().strip()
+    except OSError as error:
+        raise ConfigError(f"fleet.secret_file: {error.strerror}") from error
+    if len(secret) < LEAST_SECRET:
+        raise ConfigError(f"fleet.secret_file: under {LEAST_SECRET} bytes")
+    return secret
+
+
+def _timings(params: Params) -> dict[str, float]:
+    told = {}
+    for name in params.data:
+        value = params.number(name, 0.0)
+        most = MOST_INDIRECT if name == "indirect" else MOST_MS
+        if not 0.0 < value <= most:
+            raise ConfigError(f"fleet.timings.{name}: not above 0 and at most {most:g}")
+        told[name] = int(value) if name == "indirect" else value
+    return told
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -32,15 +32,14 @@
 from thornjunction.net.wire.commands import Command, Host, ListChange
 from thornjunction.net.wire.operators import encode_figures, encode_word
 from thornjunction.rules import Router
+from thornjunction.runtime import parts
 from thornjunction.runtime.config import Config, ConfigError, check_complete
 from thornjunction.runtime.drain import Drain
 from thornjunction.runtime.figures import figures_of
 from thornjunction.runtime.handover import Handover
 
 if TYPE_CHECKING:  # what the operators' file turns on is imported where there is one
-    from thornjunction.net.metrics import Metrics
-    from thornjunction.runtime.extras import Extras, MetricsTargets
-    from thornjunction.runtime.second_front import SecondFront
+    from thornjunction.runtime.extras import Extras
 
 ACCEPT_MS = 800.0  # after SIGTERM: new connections come for 400 ms, requests on open ones for 200 ms more
 KILL_MS, LONGEST_MS = 700.0, 3_000.0  # SIGKILL: so long after the longest deadline, which counts so much
@@ -81,15 +80,14 @@
         self.ready = self.ending = self.succeeded = self.faulty = False
         self.admission = Admission(random.Random(config.seed).random, config.cores)
         self.classes: dict[str, api.RequestClass] = {}
-        self.second = self._second_front(extras)
+        self.second = parts.second_front(extras, self.engine, self.classes, self.clients, deadlines)
         self._settle(config.settings)
-        self.metrics = self._metrics(extras.metrics, counters) if extras and extras.metrics else None
-        calls = {
-            "check": self._check,
-            "vars": self._figures,
-            "drain-on": self._drain_on,
-            "drain-off": self._drain_off,
-        }
+        self.metrics = parts.metrics(extras, reactor, deadlines, counters, config.name)
+        self.fleet = parts.fleet(extras, config.name, deadlines)
+        calls = {"check": self._check, "vars": self._figures}
+        calls |= {"drain-on": self._drain_on, "drain-off": self._drain_off}
+        if self.fleet is not None:
+            calls["fleet"] = self.fleet.view
         self.operators = OperatorsDoor(calls, deadlines, core_ms)
         self._ports: list[Any] = []
 
@@ -119,6 +117,8 @@
             self._ports += self.second.listen(self.reactor, self.listen)
         if self.metrics is not None:
             self.metrics.start()
+        if self.fleet is not None:
+            self.fleet.listen(self.reactor)
 
     def _watch(self, due: float, since: float = 0.0, used_s: float = 0.0) -> None:
         now, busy_s = core_ms(), time.process_time()
@@ -172,24 +172,6 @@
     def _operators_link(self) -> OperatorsLink:
         return OperatorsLink(self.operators)
 
-    def _second_front(self, extras: Extras | None) -> SecondFront | None:
-        if extras is None or extras.signed is None:
-            return None
-        from thornjunction.runtime.second_front import SecondFront
-
-        return SecondFront(extras.signed, self.engine, self.classes, self.clients, self.alarm.deadlines)
-
-    def _metrics(self, targets: MetricsTargets, counters: Counters) -> Metrics:
-        from thornjunction.net.metrics import Metrics
-
-        deadlines, name = self.alarm.deadlines, self.config.name
-        metrics = Metrics(self.reactor, deadlines, core_ms, time.time, counters, name, targets.interval_s)
-        if targets.graphite is not None:
-            metrics.to_graphite(targets.graphite, targets.prefix)
-        if targets.collectd is not None:
-            metrics.to_collectd(targets.collectd)
-        return metrics
-
     def is_ready(self) -> bool:
         """A process that has a successor says yes to the end: the two are one request router."""
         return self.ready and (self.succeeded or not self.drain.active)
@@ -275,6 +257,8 @@
         self.ending, self.succeeded = True, self.handover.succeeded()
         wait_ms = 0.0 if self.succeeded else ACCEPT_MS
         log.info("draining", succeeded=self.succeeded)
+        if self.fleet is not None:
+            self.fleet.leave()
         now, deadlines = core_ms(), self.alarm.deadlines
         self.drain.start(wait_ms)
         self._last = now + min(self.config.longest_ms, LONGEST_MS) + KILL_MS - EARLY_MS
--- a/thornjunction/runtime/start.py
+++ b/thornjunction/runtime/start.py
@@ -21,10 +21,10 @@
 EXTRAS = Path(__file__).resolve().parent.parent.parent / "deploy" / "extras.toml"  # the operators' own file
 
 
-def serve_or_demo(environ: Mapping[str, str]) -> int:
+def serve_or_demo(environ: Mapping[str, str], extras_path: Path = EXTRAS) -> int:
     """``serve``; where PROXY_CONFIG is not set, a demo on stand-ins."""
     if "PROXY_CONFIG" in environ:
-        return serve(environ, EXTRAS)
+        return serve(environ, extras_path)
     from twisted.internet import reactor
 
     from thornjunction.demo.start import serve_demo
