fleet-rig: real router processes behind relays, and scenarios played on them

Need: what the fleet does when processes die, sleep or are cut off has to be shown by real ones. Change: a rig of 3 to 9 processes with relays between them, scenario files with steps and what must be seen, played side by side in one reactor; a failing one prints its timeline.

--- /dev/null
+++ b/packages/fleet-rig/src/fleet_rig/__main__.py
@@ -0,0 +1,52 @@
+"""``python -m fleet_rig`` starts routers that know each other until SIGTERM; ``python -m fleet_rig play
+FILE..`` plays scenarios and exits with 1 where one was not seen through."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+from typing import Any
+
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import Deferred
+
+from fleet_rig.demo import Demo
+from fleet_rig.play import Troupe
+
+reactor: Any = _reactor
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m fleet_rig", description=__doc__)
+    parser.add_argument("--routers", type=int, default=3, choices=range(3, 10), help="of the fleet, 3 to 9")
+    play = parser.add_subparsers(dest="command").add_parser("play", help="play scenario files")
+    play.add_argument("--jobs", type=int, default=4, help="scenarios at once")
+    play.add_argument("files", nargs="+", type=Path)
+    told = parser.parse_args()
+    if told.command == "play":
+        troupe = Troupe(reactor, told.jobs)
+        return _run(troupe, lambda: troupe.play(told.files).addCallback(lambda _: reactor.stop())) or (
+            troupe.missed > 0
+        )
+    demo = Demo(reactor, [f"router-{number + 1}" for number in range(told.routers)])
+    return _run(demo, lambda: Deferred.fromCoroutine(demo.play()))
+
+
+def _run(acted: Troupe | Demo, begin: Any) -> int:
+    """Until it ends, or a signal does; whatever happens, the processes it started end before this one."""
+    faults: list[Any] = []
+
+    def fault(failure: Any) -> None:
+        faults.append(failure)
+        print(failure.getTraceback(), file=sys.stderr)
+        reactor.stop()
+
+    reactor.callWhenRunning(lambda: begin().addErrback(fault))
+    reactor.addSystemEventTrigger("before", "shutdown", acted.stop)
+    reactor.run()
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(int(main()))
--- a/packages/fleet-rig/src/fleet_rig/files.py
+++ b/packages/fleet-rig/src/fleet_rig/files.py
@@ -6,13 +6,15 @@
 import json
 from collections.abc import Mapping, Sequence
 from pathlib import Path
+from random import randint
+from socket import socket
 from typing import Any
 
-from thornjunction.demo.standins import DemoDiscovery, DemoShelf
-from thornjunction.demo.start import SETTINGS, free_port, listen
-
 from fleet_rig.relay import Address
 
+from thornjunction.demo.standins import DemoDiscovery, DemoShelf
+from thornjunction.demo.start import SETTINGS, listen
+
 TIMINGS: Mapping[str, float] = {
     "probe_every_ms": 200,
     "probe_timeout_ms": 80,
@@ -33,20 +35,24 @@
 
 
 def write_config(folder: Path, name: str, channel: int) -> Address:
-    """The platform's file; where the operators' door will be.  The ports were free a moment ago: a router that
-    can't have one says so and is started again."""
-    door = free_port()
+    """The platform's file; where the operators' door will be.  Both ports are on a loopback address drawn for
+    this life, where nothing else is likely to take them; a router that can't have one is started again."""
+    host = ".".join(["127", *(str(randint(1, 254)) for _ in range(3))])
+    with socket() as front, socket() as door:
+        front.bind((host, 0))
+        door.bind((host, 0))
+        ports = front.getsockname()[1], door.getsockname()[1]
     told = {
         "name": name,
-        "listen": f"127.0.0.1:{free_port()}",
-        "admin_addr": f"127.0.0.1:{door}",
+        "listen": f"{host}:{ports[0]}",
+        "admin_addr": f"{host}:{ports[1]}",
         "channel": f"127.0.0.1:{channel}",
         "settings": SETTINGS,
         "limits": {"sockets": 90},
         "known": {"cursor": 0, "cmds": []},
     }
     (folder / "config.json").write_text(json.dumps(told))
-    return "127.0.0.1", door
+    return host, ports[1]
 
 
 def write_extras(
--- a/packages/fleet-rig/src/fleet_rig/node.py
+++ b/packages/fleet-rig/src/fleet_rig/node.py
@@ -19,7 +19,7 @@
 
 
 class Node(protocol.ProcessProtocol):
-    """A router by name; ``hear`` gets each line of its log, and ``exit`` with its code or signal at its end."""
+    """A router by name; ``hear`` gets each line of its log, and ``exit`` with its code or signal."""
 
     def __init__(self, name: str, hear: Hear) -> None:
         self.name, self.hear = name, hear
@@ -34,7 +34,9 @@
         for given in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_ADMIN_ADDR", "PROXY_SOCKET_FD"):
             env.pop(given, None)
         fds: Any = {0: "w", 1: "r", 2: "r"}
-        transport: Any = reactor.spawnProcess(self, command[0], command, env, str(config.parent), childFDs=fds)
+        transport: Any = reactor.spawnProcess(
+            self, command[0], command, env, str(config.parent), childFDs=fds
+        )
         self.pid = transport.pid
 
     def errReceived(self, data: bytes) -> None:  # noqa: N802
--- a/packages/fleet-rig/src/fleet_rig/relay.py
+++ b/packages/fleet-rig/src/fleet_rig/relay.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, cast
@@ -61,6 +61,7 @@
         self.links: dict[tuple[str, str], Link] = {}
         self.held: deque[tuple[Address, str, bytes]] = deque(maxlen=MAX_HELD)
         self.counts = Counter[str]()
+        self.on_pass: Callable[[], None] | None = None  # called with each datagram that passed
 
     def add(self, name: str) -> None:
         """A public address for a router, on a free port, and links from and to all others."""
@@ -107,6 +108,8 @@
         if to in self.real:
             self.counts["passed"] += 1
             self.gates[name].send(datagram, self.real[to])
+            if self.on_pass is not None:
+                self.on_pass()
 
     def replay(self, name: str, to: str) -> None:
         """Send again, unchanged, what was kept of a link."""
--- /dev/null
+++ b/packages/fleet-rig/tests/test_scenes.py
@@ -0,0 +1,67 @@
+"""Every scenario file, played side by side by one process of the rig; and what a file may not hold."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from fleet_rig.scenario import ScenarioError, read_scenario
+
+SCENES = sorted((Path(__file__).parent / "scenarios").glob("*.scene"))
+JOBS, WITHIN_S = 4, 180.0
+
+
+@pytest.fixture(scope="session")
+def verdicts() -> Iterator[dict[str, Any]]:
+    """The verdict of each file by its name; the rig ends its processes also where this is cut short."""
+    command = [sys.executable, "-m", "fleet_rig", "play", "--jobs", str(JOBS), *map(str, SCENES)]
+    rig = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    try:
+        told, faults = rig.communicate(timeout=WITHIN_S)
+    finally:
+        rig.terminate()
+        rig.communicate()
+    assert not faults, faults
+    lines = [json.loads(line) for line in told.splitlines()]
+    yield {line["name"]: line for line in lines}
+
+
+@pytest.mark.parametrize("name", [path.stem for path in SCENES])
+def test_all_is_seen_that_the_file_names(name: str, verdicts: dict[str, Any]) -> None:
+    verdict = verdicts[name]
+    assert not verdict["why"], f"{verdict['why']}\n{verdict['timeline']}"
+
+
+HEAD = "about: x\nnodes: a b\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "names"),
+    [
+        ("nodes: a\nstart a | a: alive", "head: 'about'"),
+        (HEAD, "no lines"),
+        (HEAD + "foreign: z\nstart a | a: alive", "unknown routers"),
+        (HEAD + "begin a | a: alive", "line 3: no such step"),
+        (HEAD + "start a | alive", "line 3"),
+        (HEAD + "start a | : alive", "line 3: seen by nobody"),
+        (HEAD + "start a | a: b gone", "line 3: nothing that can be seen"),
+    ],
+)
+def test_a_file_that_can_not_be_read_is_named(text: str, names: str) -> None:
+    with pytest.raises(ScenarioError, match=names):
+        read_scenario(text)
+
+
+def test_what_is_not_seen_is_told_with_its_timeline_and_no_process_stays(tmp_path: Path) -> None:
+    path = tmp_path / "wrong.scene"
+    path.write_text("about: x\nnodes: a b c\nwithin: 4000\n\nstart a b c | all: alive; a: b failed\n")
+    command = [sys.executable, "-m", "fleet_rig", "play", str(path)]
+    ended = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    verdict = json.loads(ended.stdout)
+    assert ended.returncode == 1 and verdict["why"] == "not seen in time: a: b failed"
+    assert "member b alive" in verdict["timeline"] and "signal 9" in verdict["timeline"]
--- a/thornjunction/runtime/fleet.py
+++ b/thornjunction/runtime/fleet.py
@@ -22,7 +22,7 @@
 from thornjunction.runtime.incarnation import next_incarnation
 
 AGAIN_MS = 500.0  # between attempts to bind: the process that this one replaces may still hold the port
-NOTED = "member", "majority", "mode"
+NOTED = "member", "link", "majority", "mode", "paused"
 
 log = get_logger(__name__)
 
@@ -46,7 +46,7 @@
                 **told.timings,  # type: ignore[arg-type]
             )
         except (TypeError, ValueError) as error:
-            raise ConfigError(f"fleet: {error}") from error
+            raise ConfigError(f"fleet, fleet.timings: {error}") from error
         self.machine = Membership(settings, random.SystemRandom().random)
         self.port = FleetPort(self.machine, core_ms, self._schedule, self._note)
         self.refused, self.waits = Counter[str](), 0
@@ -63,6 +63,9 @@
             if self.waits.bit_count() == 1:
                 log.error("fleet-waits", reason=str(error.socketError), times=self.waits)
             self._schedule(AGAIN_MS, lambda: self.listen(reactor))
+            return
+        where = self._bound.getHost()
+        log.info("fleet-listening", name=self.name, host=where.host, port=where.port)
 
     def leave(self) -> None:
         """Say so to the others and free the port, for the process that comes next."""
--- a/thornjunction/runtime/fleet_settings.py
+++ b/thornjunction/runtime/fleet_settings.py
@@ -13,14 +13,14 @@
 
 Address = tuple[str, int]
 LEAST_SECRET = 32  # bytes
-MOST_MS, MOST_INDIRECT = 600_000.0, 16
+MOST_TIMING = 3_600_000  # ms, or of a count
 
 
 @dataclass(frozen=True, slots=True)
 class FleetSettings:
     """Which fleet this router is of, where it listens, and whom it asks first.  ``advertise`` is where the
-    others reach it; ``name`` is empty where the router's own counts; ``timings`` in ms (``indirect`` is a
-    count) override the machine's defaults."""
+    others reach it; ``name`` is empty where the router's own counts; ``timings`` override the machine's
+    defaults by their names."""
 
     listen: Address
     advertise: Address
@@ -80,11 +80,8 @@
 
 
 def _timings(params: Params) -> dict[str, float]:
-    told = {}
-    for name in params.data:
-        value = params.number(name, 0.0)
-        most = MOST_INDIRECT if name == "indirect" else MOST_MS
-        if not 0.0 < value <= most:
-            raise ConfigError(f"fleet.timings.{name}: not above 0 and at most {most:g}")
-        told[name] = int(value) if name == "indirect" else value
+    told = {name: params.get(name, (int, float)) for name in params.data}
+    for name, value in told.items():
+        if not 0 < value <= MOST_TIMING:
+            raise ConfigError(f"fleet.timings.{name}: not above 0 and at most {MOST_TIMING}")
     return told
