--- /dev/null
+++ b/packages/fleet-rig/src/fleet_rig/acts.py
@@ -0,0 +1,88 @@
+"""The acts of a scenario's steps, done to real processes and to the relays between them."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Sequence
+from dataclasses import fields, replace
+
+from fleet_sim import Quality
+from fleet_sim.faults import across
+
+from fleet_rig.rig import Rig
+
+Words = Sequence[str]
+SIGNALS = {
+    "kill": signal.SIGKILL,
+    "pause": signal.SIGSTOP,
+    "continue": signal.SIGCONT,
+    "leave": signal.SIGTERM,
+}
+QUALITIES = {quality.name for quality in fields(Quality)}
+
+
+class Acts:
+    """Carries out one step at a time; ValueError for words that are no act."""
+
+    def __init__(self, rig: Rig, within_ms: float) -> None:
+        self.rig, self.within_ms = rig, within_ms
+
+    async def do(self, words: Words) -> None:
+        verb, rest = words[0], words[1:]
+        match verb:
+            case "start" | "restart":
+                for name in rest:
+                    await self.rig.start(name)
+            case "kill" | "pause" | "continue" | "leave":
+                await self._signal(verb, rest)
+            case "traffic":
+                await self.rig.traffic(int(rest[0]), self.within_ms)
+            case "wait":
+                pass
+            case _:
+                self.rig.record.fault(" ".join(words))
+                self._spoil(verb, rest)
+
+    async def _signal(self, verb: str, words: Words) -> None:
+        bare = tuple(words[-2:]) == ("without", "disk")
+        names = words[:-2] if bare else words
+        for name in names:
+            self.rig.signal(name, SIGNALS[verb])
+        for name in names if bare else ():
+            await self.rig.ended(name)
+            self.rig.forget(name)
+
+    def _spoil(self, verb: str, words: Words) -> None:
+        rig = self.rig
+        match verb, *words:
+            case "cut", *link:
+                rig.cut(_arrow(link), True)
+            case "split", *_:
+                rig.cut(across(tuple(tuple(side.split()) for side in " ".join(words).split("/"))), True)
+            case "flap", *link, "every", ms:
+                links = _arrow(link)
+                rig.every(float(ms), lambda: rig.cut(links, not rig.relay.links[links[0]].cut))
+            case "heal", *link:
+                rig.quiet()
+                rig.cut(_arrow(link) if link else list(rig.relay.links), False)
+            case "noise", *pairs:
+                self._noise(pairs)
+            case "replay", *link, count:
+                ((source, target),) = _arrow(link)
+                rig.relay.replay(source, target, int(count))
+            case _:
+                raise ValueError(f"not an act: {verb} {' '.join(words)}")
+
+    def _noise(self, words: Words) -> None:
+        told = {key: float(value) for key, value in zip(words[::2], words[1::2], strict=True)}
+        if told.keys() - QUALITIES:
+            raise ValueError(f"not a quality: {' '.join(words)}")
+        for link in self.rig.relay.links.values():
+            link.quality = replace(link.quality, **told)
+
+
+def _arrow(words: Words) -> list[tuple[str, str]]:
+    source, arrow, target = words
+    if arrow not in ("->", "<->"):
+        raise ValueError(f"not a link: {' '.join(words)}")
+    return [(source, target), (target, source)] if arrow == "<->" else [(source, target)]
--- a/packages/fleet-rig/src/fleet_rig/demo.py
+++ b/packages/fleet-rig/src/fleet_rig/demo.py
@@ -5,9 +5,10 @@
 from collections.abc import Sequence
 from typing import Any
 
-from fleet_rig.rig import Rig
 from twisted.internet.defer import Deferred
 
+from fleet_rig.rig import Rig
+
 WITHIN_MS = 30_000.0
 
 
@@ -20,7 +21,7 @@
     async def play(self) -> None:
         """Start all, wait until each knows the others, and say what can be tried."""
         for name in self.rig.names:
-            self.rig.start(name)
+            await self.rig.start(name)
         print("starting", *self.rig.names, flush=True)
         await self.rig.until(self._all_known, WITHIN_MS, "all routers know each other")
         print(self.greeting(), flush=True)
--- a/packages/fleet-rig/src/fleet_rig/play.py
+++ b/packages/fleet-rig/src/fleet_rig/play.py
@@ -7,10 +7,11 @@
 from pathlib import Path
 from typing import Any
 
-from fleet_rig.scenario import read_scenario
-from fleet_rig.stage import Stage
+from fleet_sim.scenario import load
 from twisted.internet.defer import Deferred, DeferredSemaphore, gatherResults
 
+from fleet_rig.stage import Stage
+
 
 class Troupe:
     """All scenarios of a call.  One JSON line each: ``name``, ``why`` (empty where all was seen), ``seconds``
@@ -29,7 +30,7 @@
         return Deferred.fromCoroutine(self._play(path))
 
     async def _play(self, path: Path) -> None:
-        stage = Stage(self.reactor, read_scenario(path.read_text(encoding="utf-8")))
+        stage = Stage(self.reactor, load(path))
         self.open.add(stage)
         verdict = await stage.play()
         self.open.discard(stage)
--- a/packages/fleet-rig/src/fleet_rig/record.py
+++ b/packages/fleet-rig/src/fleet_rig/record.py
@@ -2,38 +2,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
-from fleet_sim import Entry, Kind, render
-
-NOTED = "member", "link", "majority", "mode", "paused", "refused", "exit"
-ODD = "fleet-waits", "cannot-listen", "incarnation-unknown", "incarnation-not-kept"
-FIELDS = (
-    "name",
-    "state",
-    "incarnation",
-    "link",
-    "held",
-    "mode",
-    "late_ms",
-    "why",
-    "reason",
-    "code",
-    "times",
-)  # drawn, in order
+from fleet_seam import Told
+from fleet_sim import Entry, Kind, render, told_text
+
+OF_THE_LOG = "level", "logger", "ts", "pid"  # what each line has beside the event's own fields
+NOTED = {"member", "link", "majority", "mode", "paused", "refused", "exit", "fleet-waits", "cannot-listen"}
+NOTED |= {"incarnation-unknown", "incarnation-not-kept"}
+LAST_TEXTS = 8  # lines of a traceback that are shown
 
 
 @dataclass(slots=True)
 class Known:
-    """What one router said since it started: members' states and incarnations, the rest by event."""
+    """What one router said of the others since it started."""
 
     states: dict[str, str] = field(default_factory=dict)
     incarnations: dict[str, int] = field(default_factory=dict)
-    last: dict[str, Mapping[str, Any]] = field(default_factory=dict)
-    refused: dict[str, int] = field(default_factory=dict)
-    failed: set[str] = field(default_factory=set)  # those that it ever called failed
+    events: set[str] = field(default_factory=set)
 
 
 class Record:
@@ -55,29 +43,29 @@
     def fault(self, text: str) -> None:
         self.entries.append(Entry(self.clock(), Kind.FAULT, "", text))
 
+    def link(self, source: str, target: str, cut: bool) -> None:
+        kind = Kind.BROKEN if cut else Kind.HEALED
+        self.entries.append(Entry(self.clock(), kind, source, "", target))
+
     def heard(self, name: str, event: str, fields: Mapping[str, Any]) -> None:
         """One line of a router's log."""
         known = self.known[name]
-        known.last[event] = fields
-        if event == "text" or fields.get("exception"):
+        known.events.add(event)
+        if event == "text" or "exception" in fields:
             self.texts.setdefault(name, []).append(str(fields.get("line", fields.get("exception"))))
         if event == "member":
-            self._member(known, str(fields["name"]), str(fields["state"]).lower(), fields)
-        elif event == "refused":
-            why = str(fields.get("why"))
-            known.refused[why] = max(known.refused.get(why, 0), int(fields.get("times", 1)))
-        if event in NOTED or event in ODD:
-            text = " ".join([event, *(str(fields[key]) for key in FIELDS if key in fields)])
-            self.entries.append(Entry(self.clock(), Kind.TOLD, name, text))
-
-    def _member(self, known: Known, name: str, state: str, fields: Mapping[str, Any]) -> None:
-        known.states[name] = state
-        known.incarnations[name] = int(fields["incarnation"])
-        if state == "failed":
-            known.failed.add(name)
+            known.states[str(fields["name"])] = str(fields["state"])
+            known.incarnations[str(fields["name"])] = int(fields["incarnation"])
+        if event in NOTED:
+            told = Told(event, {key: value for key, value in fields.items() if key not in OF_THE_LOG})
+            self.entries.append(Entry(self.clock(), Kind.TOLD, name, told_text(told)))
+
+    def told(self, name: str, since: int) -> Iterator[str]:
+        """What one router said, from an entry on."""
+        return (e.text for e in self.entries[since:] if e.kind is Kind.TOLD and e.node == name)
 
     def timeline(self) -> str:
         """All of it as text, and below it what was no event."""
         drawn = render(self.entries, sorted(self.known))
-        said = [f"-- {name} --\n" + "\n".join(lines[-8:]) for name, lines in self.texts.items()]
+        said = [f"-- {name} --\n" + "\n".join(lines[-LAST_TEXTS:]) for name, lines in self.texts.items()]
         return "\n".join([drawn, *said])
--- a/packages/fleet-rig/src/fleet_rig/relay.py
+++ b/packages/fleet-rig/src/fleet_rig/relay.py
@@ -5,32 +5,27 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, cast
 
+from fleet_sim import Quality
 from twisted.internet import protocol
 
 Address = tuple[str, int]
 MAX_HELD, MAX_KEPT = 64, 64  # datagrams of senders not yet known; of each link, for replays
-LATE_MS = 40.0  # by how much a reordered datagram is held back
+CLEAR = Quality(least_ms=0.0, most_ms=0.0)
 
 
 @dataclass(slots=True)
 class Link:
-    """One direction between two routers: shares in [0, 1], times in ms."""
+    """One direction between two routers; one that is not cut carries by its quality."""
 
     cut: bool = False
-    loss: float = 0.0
-    delay_ms: float = 0.0
-    duplicate: float = 0.0
-    reorder: float = 0.0
+    quality: Quality = CLEAR
     kept: deque[bytes] = field(default_factory=lambda: deque(maxlen=MAX_KEPT))
 
-    def mend(self) -> None:
-        self.cut, self.loss, self.delay_ms, self.duplicate, self.reorder = False, 0.0, 0.0, 0.0, 0.0
-
 
 class Gate(protocol.DatagramProtocol):
     """The public address of one router."""
@@ -79,10 +74,6 @@
         for source, to, datagram in held:
             self.arrived(source, to, datagram)
 
-    def between(self, sources: Iterable[str], targets: Iterable[str]) -> list[Link]:
-        """The links from each of these to each of those."""
-        return [self.links[a, b] for a in sources for b in targets if a != b]
-
     def arrived(self, source: Address, to: str, datagram: bytes) -> None:
         name = next((name for name, real in self.real.items() if real == source), None)
         if name is None:
@@ -91,14 +82,15 @@
             self._pass(name, to, datagram)
 
     def _pass(self, name: str, to: str, datagram: bytes) -> None:
-        link = self.links[name, to]
+        link, draw = self.links[name, to], self.random.random
+        quality = link.quality
         link.kept.append(datagram)
-        if link.cut or self.random.random() < link.loss:
+        if link.cut or draw() < quality.loss:
             self.counts["dropped"] += 1
             return
-        for _ in range(1 + (self.random.random() < link.duplicate)):
-            late = LATE_MS if self.random.random() < link.reorder else 0.0
-            wait_ms = link.delay_ms + late
+        for _ in range(1 + (draw() < quality.doubled)):
+            wait_ms = quality.least_ms + draw() * (quality.most_ms - quality.least_ms)
+            wait_ms += draw() * quality.held_ms if draw() < quality.reordered else 0.0
             if wait_ms:
                 self.reactor.callLater(wait_ms / 1000.0, self._deliver, name, to, datagram)
             else:
@@ -111,11 +103,12 @@
             if self.on_pass is not None:
                 self.on_pass()
 
-    def replay(self, name: str, to: str) -> None:
-        """Send again, unchanged, what was kept of a link."""
-        for datagram in list(self.links[name, to].kept):
+    def replay(self, name: str, to: str, count: int) -> None:
+        """Send again, unchanged, the last so many datagrams of a link (MAX_KEPT at most)."""
+        for datagram in list(self.links[name, to].kept)[-count:]:
             self._deliver(name, to, datagram)
 
     async def stop(self) -> None:
-        for port in self.ports:
+        ports, self.ports = self.ports, []
+        for port in ports:
             await port.stopListening()
--- a/packages/fleet-rig/src/fleet_rig/rig.py
+++ b/packages/fleet-rig/src/fleet_rig/rig.py
@@ -9,12 +9,14 @@
 from pathlib import Path
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from fleet_rig.files import TIMINGS, start_standins, write_config, write_extras
 from fleet_rig.node import Node
 from fleet_rig.record import Record
 from fleet_rig.relay import Address, Relay
-from twisted.internet.defer import Deferred
 
+END_MS = 10_000.0  # from a signal to the exit, a drain between them
 MOST_STARTS = 5  # of one life, where a port was taken between its draw and its use
 SECRET, OTHER_SECRET = b"r" * 32, b"o" * 32
 
@@ -46,6 +48,8 @@
         self.starts: dict[str, int] = {}
         self.running: set[str] = set()  # those that are to run, paused ones too
         self.calls: list[Any] = []
+        self.on_event: Callable[[], None] = lambda: None
+        self.broken = ""
         self.waiters: list[tuple[Callable[[], bool], Deferred[None]]] = []
         for name in self.names:
             self.relay.add(name)
@@ -53,8 +57,9 @@
 
     # -- lives --
 
-    def start(self, name: str) -> None:
+    async def start(self, name: str) -> None:
         """A new life, with what the folder holds of those before it."""
+        await self.ended(name)
         self.starts[name] = 0
         self.running.add(name)
         self._spawn(name)
@@ -71,6 +76,12 @@
         self.nodes[name] = node = Node(name, self._heard)
         node.start(self.reactor, folder / "config.json", folder / "extras.toml")
 
+    async def ended(self, name: str) -> None:
+        """Until the last life is over, if there was one; NeverSeenError past a bound."""
+        node = self.nodes.get(name)
+        if node is not None:
+            await self.until(lambda: node.ended.called, END_MS, f"the end of {name}")
+
     def forget(self, name: str) -> None:
         """Remove a router's data, as a lost disk would."""
         shutil.rmtree(self.folder / name / "data", ignore_errors=True)
@@ -87,6 +98,7 @@
 
     def _heard(self, name: str, event: str, fields: Mapping[str, Any]) -> None:
         self.record.heard(name, event, fields)
+        self.on_event()
         if event == "fleet-listening":
             self.relay.register(name, ("127.0.0.1", int(fields["port"])))
         elif event == "exit":
@@ -96,15 +108,17 @@
     def _exited(self, name: str) -> None:
         self.relay.real.pop(name, None)
         self.record.life(name, "ended")
-        if "cannot-listen" in self.record.known[name].last and self.starts[name] < MOST_STARTS:
+        if "cannot-listen" in self.record.known[name].events and self.starts[name] < MOST_STARTS:
             self._spawn(name)
         elif name in self.running:
             self.running.discard(name)
-            self._give_up(f"{name} ended by itself")
+            self.give_up(f"{name} ended by itself")
 
     # -- waiting --
 
-    def _give_up(self, why: str) -> None:
+    def give_up(self, why: str) -> None:
+        """End all waiting, and what is still to be waited for."""
+        self.broken = self.broken or why
         waiters, self.waiters = self.waiters, []
         for _, fired in waiters:
             fired.errback(NeverSeenError(why))
@@ -119,6 +133,8 @@
     async def until(self, holds: Callable[[], bool], within_ms: float, what: str) -> None:
         """Until something holds that an event or a passed datagram brings about.  NeverSeenError past the
         bound, and where a router ended that was to run."""
+        if self.broken:
+            raise NeverSeenError(self.broken)
         if holds():
             return
         fired: Deferred[None] = Deferred()
@@ -143,6 +159,14 @@
         await self.until(lambda: self.relay.counts["passed"] >= wanted, within_ms, f"{datagrams} datagrams")
         self.relay.on_pass = None
 
+    def cut(self, links: Sequence[tuple[str, str]], cut: bool) -> None:
+        """Cut or heal; only what changes is drawn."""
+        for source, target in links:
+            link = self.relay.links[source, target]
+            if link.cut is not cut:
+                link.cut = cut
+                self.record.link(source, target, cut)
+
     def every(self, ms: float, call: Callable[[], None]) -> None:
         """Call at once and then again and again, until ``quiet``."""
         call()
@@ -166,7 +190,7 @@
         self.quiet()
         self.running.clear()
         self.starts = dict.fromkeys(self.starts, MOST_STARTS)
-        self._give_up("stopped")
+        self.give_up("stopped")
         for node in self.nodes.values():
             node.signal(signal.SIGKILL)
         for node in self.nodes.values():
--- a/packages/fleet-rig/src/fleet_rig/stage.py
+++ b/packages/fleet-rig/src/fleet_rig/stage.py
@@ -1,29 +1,18 @@
-"""Plays one scenario on a rig: carries out each step, then waits until all is seen that must be."""
+"""Plays one scenario of the form of ``fleet_sim.scenario`` on a rig.  A step is done once all was seen that
+stands beside the one before it; nothing waits for a time.  README.md says what differs from a simulation."""
 
 from __future__ import annotations
 
-import signal
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
+from fleet_sim.scenario import Expected, FormError, Scenario, Step
 from twisted.internet.error import ConnectError
-from twisted.internet.protocol import Factory, Protocol
 
-from fleet_rig.record import Known
-from fleet_rig.relay import Link
+from fleet_rig.acts import Acts
+from fleet_rig.door import ask
 from fleet_rig.rig import NeverSeenError, Rig
-from fleet_rig.scenario import Line, Scenario, Wanted
-
-SIGNALS = {
-    "kill": signal.SIGKILL,
-    "stop": signal.SIGSTOP,
-    "cont": signal.SIGCONT,
-    "term": signal.SIGTERM,
-}
-SHARES = "loss", "duplicate", "reorder"
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,164 +24,92 @@
     timeline: str
 
 
-class _Caller(Protocol):
-    """One call at an operators' door."""
-
-    def __init__(self) -> None:
-        self.reply, self.whole = b"", Deferred[bytes]()
-
-    def connectionMade(self) -> None:  # noqa: N802
-        transport: Any = self.transport
-        transport.write(b"fleet\n")
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self.reply += data
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        self.whole.callback(self.reply)
-
-
-async def ask(reactor: Any, door: tuple[str, int]) -> str:
-    """The reply of a router's door to ``fleet``."""
-    endpoint: Any = TCP4ClientEndpoint(reactor, door[0], door[1], timeout=5)
-    caller: Any = await endpoint.connect(Factory.forProtocol(_Caller))
-    return str((await caller.whole).decode())
-
-
 class Stage:
-    """One scenario on one rig."""
+    """One scenario on one rig.  FormError for what a rig can't do."""
 
     def __init__(self, reactor: Any, scenario: Scenario, seed: int = 1) -> None:
-        self.reactor, self.scenario = reactor, scenario
-        nodes, voters, foreign = scenario.nodes, scenario.voters, scenario.foreign
-        self.rig = Rig(reactor, nodes, voters, foreign, scenario.timings, seed)
-        self.before: Mapping[str, Mapping[str, int]] = {}
+        self.reactor, self.scenario, options = reactor, scenario, dict(scenario.options)
+        self.foreign = frozenset(options.pop("foreign", ()))
+        voters = options.pop("voters", tuple(n for n in scenario.names if n not in self.foreign))
+        timings = dict(_timing(word) for word in options.pop("timings", ()))
+        lines = [line for step in scenario.steps for line in step.expected]
+        if options or any(step.at_ms or step.pause_ms for step in scenario.steps):
+            raise FormError(f"a rig knows no times, nor {sorted(options)}")
+        if ordered := [line for line in lines if line.ordered]:
+            raise FormError(f"a rig holds no order: {ordered[0]}")
+        self.rig = Rig(reactor, scenario.names, voters, self.foreign, timings, seed)
+        self.acts = Acts(self.rig, scenario.for_ms)
+        self.rig.on_event = self._forbid
+        self.since, self.before = 0, dict[str, Mapping[str, int]]()
+        self.forbidden: list[tuple[Expected, int]] = [(line, 0) for line in scenario.never]
 
     async def play(self) -> Verdict:
-        """All lines, in order, to the first that is not seen; every process is ended in the end."""
+        """All steps, in order, to the first line that is not seen; every process is ended in the end."""
         why, since = "", self.reactor.seconds()
         try:
-            for line in self.scenario.lines:
-                await self._play(line)
+            for name in self.scenario.names:
+                if name not in self.scenario.later:
+                    await self.rig.start(name)
+            for step in self.scenario.steps:
+                await self._play(step)
         except (NeverSeenError, ConnectError) as never:
             why = str(never)
+        except ValueError as error:
+            why = f"line {step.line}: {error}"
         finally:
             seconds = self.reactor.seconds() - since
             await self.rig.stop()
         return Verdict(why, seconds, self.rig.record.timeline())
 
-    async def _play(self, line: Line) -> None:
+    async def _play(self, step: Step) -> None:
+        record = self.rig.record
+        self.since = len(record.entries) if step is not self.scenario.steps[0] else 0
+        self.before = {name: dict(known.incarnations) for name, known in record.known.items()}
+        never = [(line, self.since) for line in step.expected if line.never]
+        self.forbidden = [(line, 0) for line in self.scenario.never] + never
+        await self.acts.do(step.act)
+        for line in sorted(step.expected, key=lambda line: line.words[0] == "door"):
+            if line.words[0] == "door":
+                await self._see_door(line)
+            elif not line.never:
+                await self.rig.until(lambda line=line: self._seen(line), self.scenario.for_ms, str(line))  # type: ignore[misc]
+
+    def _forbid(self) -> None:
+        record = self.rig.record
+        for line, since in self.forbidden:
+            for name in line.nodes:
+                if any(line.fits(name, text) for text in record.told(name, since)):
+                    self.rig.give_up(f"seen at {name}: {line}")
+
+    def _seen(self, line: Expected) -> bool:
+        record = self.rig.record
+        if not line.nodes:
+            return self._settled()
+        if line.words[0] == "anew":
+            return all(self._anew(name, line.words[1]) for name in line.nodes)
+        return all(
+            any(line.fits(name, text) for text in record.told(name, self.since)) for name in line.nodes
+        )
+
+    def _settled(self) -> bool:
+        """Each router that runs last called all others that run alive."""
+        running = self.rig.running - self.foreign
         known = self.rig.record.known
-        self.before = {name: dict(told.incarnations) for name, told in known.items()}
-        if line.step:
-            await self._do(line.step[0], line.step[1:])
-        for wanted in line.wanted:
-            await self._see(wanted)
-
-    # -- steps --
-
-    async def _do(self, verb: str, words: Sequence[str]) -> None:
-        if verb in SIGNALS:
-            for name in words:
-                self.rig.signal(name, SIGNALS[verb])
-        elif verb in ("start", "restart", "restart-bare"):
-            await self._start(verb, words)
-        elif verb == "traffic":
-            await self.rig.traffic(int(words[0]), self.scenario.within_ms)
-        else:
-            self.rig.record.fault(" ".join((verb, *words)))
-            self._spoil(verb, words)
-
-    async def _start(self, verb: str, names: Sequence[str]) -> None:
-        for name in names:
-            node = self.rig.nodes.get(name)
-            if node is not None and not node.ended.called:
-                await self.rig.until(lambda node=node: node.ended.called, 5_000.0, f"end of {name}")  # type: ignore[misc]
-            if verb == "restart-bare":
-                self.rig.forget(name)
-            self.rig.start(name)
-
-    def _spoil(self, verb: str, words: Sequence[str]) -> None:
-        if verb == "steady":
-            self.rig.quiet()
-        elif verb == "flap":
-            (link,) = self._links(words[1:])
-            self.rig.every(float(words[0]), lambda: self._turn(link, words[1]))
-        elif verb == "replay":
-            self.rig.relay.replay(*words[0].split(">"))
-        elif verb in ("cut", "heal"):
-            for link in self._links(words):
-                link.mend()
-                link.cut = verb == "cut"
-        else:
-            for link in self._links(words[1:]):
-                self._set(link, verb, float(words[0]))
-
-    def _turn(self, link: Link, name: str) -> None:
-        link.cut = not link.cut
-        self.rig.record.fault(f"{name} {'cut' if link.cut else 'healed'}")
-
-    def _set(self, link: Link, verb: str, value: float) -> None:
-        match verb:
-            case "loss":
-                link.loss = value / 100.0
-            case "duplicate":
-                link.duplicate = value / 100.0
-            case "reorder":
-                link.reorder = value / 100.0
-            case "delay":
-                link.delay_ms = value
-
-    def _links(self, words: Sequence[str]) -> list[Link]:
-        relay, told = self.rig.relay, " ".join(words)
-        if ">" in told:
-            return relay.between(*([side] for side in told.split(">")))
-        if "/" in told:
-            left, right = (side.split() for side in told.split("/"))
-            return relay.between(left, right) + relay.between(right, left)
-        names = words or self.rig.names
-        return relay.between(names, names)
-
-    # -- what must be seen --
-
-    async def _see(self, wanted: Wanted) -> None:
-        names = sorted(self.rig.running) if wanted.routers == ("all",) else list(wanted.routers)
-        if wanted.words[0] == "door":
-            for name in names:
-                await self._see_door(name, " ".join(wanted.words[1:]))
-            return
-        what = str(wanted)
-        if wanted.words[0] == "never" and not all(self._holds(name, wanted.words) for name in names):
-            raise NeverSeenError(f"seen: {what}")
-        within_ms = self.scenario.within_ms
-        await self.rig.until(lambda: all(self._holds(name, wanted.words) for name in names), within_ms, what)
-
-    async def _see_door(self, name: str, text: str) -> None:
-        reply = await ask(self.reactor, self.rig.doors[name])
-        if not (reply.startswith("ACK\n") and reply.endswith("--\n") and text in reply):
-            raise NeverSeenError(f"door of {name}: no {text!r} in {reply!r}")
-
-    def _holds(self, name: str, words: Sequence[str]) -> bool:
-        known = self.rig.record.known.get(name, Known())
-        match words:
-            case ("alive",):
-                others = self.rig.running - self.rig.foreign - {name}
-                return all(known.states.get(other) == "alive" for other in others)
-            case ("never", "failed"):
-                return not known.failed
-            case ("never", other, "failed"):
-                return other not in known.failed
-            case ("majority", held):
-                return str(known.last.get("majority", {}).get("held")) == held
-            case ("mode", mode):
-                return str(known.last.get("mode", {}).get("mode")) == mode
-            case ("refused", why):
-                return known.refused.get(why, 0) > 0
-            case ("exit", code):
-                return str(known.last.get("exit", {}).get("code")) == code
-            case (other, "anew"):
-                old = self.before.get(name, {}).get(other, -1)
-                return known.states.get(other) == "alive" and known.incarnations[other] > old
-            case (other, state):
-                return known.states.get(other) == state
-        return False
+        return all(known[a].states.get(b) == "alive" for a in running for b in running - {a})
+
+    def _anew(self, name: str, other: str) -> bool:
+        known, old = self.rig.record.known[name], self.before.get(name, {}).get(other, -1)
+        return known.states.get(other) == "alive" and known.incarnations[other] > old
+
+    async def _see_door(self, line: Expected) -> None:
+        """Asked once: what the door says must agree with what was logged."""
+        text = " ".join(line.words[1:])
+        for name in line.nodes:
+            reply = await ask(self.reactor, self.rig.doors[name], "fleet")
+            if not (reply.startswith("ACK\n") and reply.endswith("\n--\n") and text in reply):
+                raise NeverSeenError(f"{line}: {reply!r}")
+
+
+def _timing(word: str) -> tuple[str, float]:
+    name, _, value = word.partition("=")
+    return name, float(value)
--- a/packages/fleet-rig/tests/test_scenes.py
+++ b/packages/fleet-rig/tests/test_scenes.py
@@ -10,9 +10,10 @@
 from typing import Any
 
 import pytest
-from fleet_rig.scenario import ScenarioError, read_scenario
+from fleet_rig.stage import Stage
+from fleet_sim.scenario import FormError, parse
 
-SCENES = sorted((Path(__file__).parent / "scenarios").glob("*.scene"))
+SCENES = sorted((Path(__file__).parent / "timelines").glob("*.timeline"))
 JOBS, WITHIN_S = 4, 180.0
 
 
@@ -37,31 +38,28 @@
     assert not verdict["why"], f"{verdict['why']}\n{verdict['timeline']}"
 
 
-HEAD = "about: x\nnodes: a b\n"
+HEAD = "title: x\nnodes: a b\n"
 
 
 @pytest.mark.parametrize(
     ("text", "names"),
     [
-        ("nodes: a\nstart a | a: alive", "head: 'about'"),
-        (HEAD, "no lines"),
-        (HEAD + "foreign: z\nstart a | a: alive", "unknown routers"),
-        (HEAD + "begin a | a: alive", "line 3: no such step"),
-        (HEAD + "start a | alive", "line 3"),
-        (HEAD + "start a | : alive", "line 3: seen by nobody"),
-        (HEAD + "start a | a: b gone", "line 3: nothing that can be seen"),
+        (HEAD + "at 5 wait", "no times"),
+        (HEAD + "then 5 wait", "no times"),
+        (HEAD + "votes: a\nthen wait", "votes"),
+        (HEAD + "then wait | a: x\n | then b: x", "no order: line 4"),
     ],
 )
-def test_a_file_that_can_not_be_read_is_named(text: str, names: str) -> None:
-    with pytest.raises(ScenarioError, match=names):
-        read_scenario(text)
+def test_what_a_rig_can_not_do_is_refused(text: str, names: str) -> None:
+    with pytest.raises(FormError, match=names):
+        Stage(None, parse(text))
 
 
 def test_what_is_not_seen_is_told_with_its_timeline_and_no_process_stays(tmp_path: Path) -> None:
-    path = tmp_path / "wrong.scene"
-    path.write_text("about: x\nnodes: a b c\nwithin: 4000\n\nstart a b c | all: alive; a: b failed\n")
+    path = tmp_path / "wrong.timeline"
+    path.write_text(HEAD + "for: 4000\nthen wait | settled\n | a: member b failed\n")
     command = [sys.executable, "-m", "fleet_rig", "play", str(path)]
     ended = subprocess.run(command, capture_output=True, text=True, timeout=60)
     verdict = json.loads(ended.stdout)
-    assert ended.returncode == 1 and verdict["why"] == "not seen in time: a: b failed"
+    assert ended.returncode == 1 and verdict["why"] == "not seen in time: line 5: a: member b failed"
     assert "member b alive" in verdict["timeline"] and "signal 9" in verdict["timeline"]
