--- a/packages/fleet-rig/src/fleet_rig/files.py
+++ b/packages/fleet-rig/src/fleet_rig/files.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 from fleet_rig.relay import Address
-
 from thornjunction.demo.standins import DemoDiscovery, DemoShelf
 from thornjunction.demo.start import SETTINGS, listen
 
@@ -21,6 +20,7 @@
     "suspicion_least_ms": 600,
     "suspicion_most_ms": 2400,
     "sync_every_ms": 500,
+    "rejoin_ms": 1000,
 }  # a failure is found in one to three seconds, and a busy machine does not look like one
 
 
--- a/packages/fleet-rig/src/fleet_rig/node.py
+++ b/packages/fleet-rig/src/fleet_rig/node.py
@@ -58,8 +58,8 @@
         value: Any = reason.value
         self.pid = None
         code = f"signal {value.signal}" if value.signal else str(value.exitCode)
-        self.hear(self.name, "exit", {"code": code})
         self.ended.callback(None)
+        self.hear(self.name, "exit", {"code": code})
 
     def signal(self, number: int) -> None:
         """To this process alone, while it lives: its id can't be another's before it was waited for."""
--- a/packages/fleet-rig/src/fleet_rig/record.py
+++ b/packages/fleet-rig/src/fleet_rig/record.py
@@ -30,11 +30,13 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock, self.entries = clock, list[Entry]()
         self.known: dict[str, Known] = {}
+        self.begun: dict[str, int] = {}  # the entry at which each router's life began
         self.texts: dict[str, list[str]] = {}  # lines that were no events: a fault's traceback
 
     def begin(self, name: str) -> None:
         """A new life knows nothing of what the one before it said."""
         self.known[name] = Known()
+        self.begun[name] = len(self.entries)
         self.life(name, "started")
 
     def life(self, name: str, text: str) -> None:
--- a/packages/fleet-rig/src/fleet_rig/stage.py
+++ b/packages/fleet-rig/src/fleet_rig/stage.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from fleet_sim.scenario import Expected, FormError, Scenario, Step
@@ -87,6 +87,8 @@
             return self._settled()
         if line.words[0] == "anew":
             return all(self._anew(name, line.words[1]) for name in line.nodes)
+        if line.words[0] == "now":
+            return all(self._stands(name, line) for name in line.nodes)
         return all(
             any(line.fits(name, text) for text in record.told(name, self.since)) for name in line.nodes
         )
@@ -97,6 +99,14 @@
         known = self.rig.record.known
         return all(known[a].states.get(b) == "alive" for a in running for b in running - {a})
 
+    def _stands(self, name: str, line: Expected) -> bool:
+        """The last that a router said on a matter since it started (``majority``, ``mode``, ``member N``)."""
+        words = line.words[1:]
+        matter = words[: 2 if words[0] == "member" else 1]
+        said = [text.split() for text in self.rig.record.told(name, self.rig.record.begun[name])]
+        last = [text for text in said if tuple(text[: len(matter)]) == matter][-1:]
+        return any(replace(line, words=words).fits(name, " ".join(text)) for text in last)
+
     def _anew(self, name: str, other: str) -> bool:
         known, old = self.rig.record.known[name], self.before.get(name, {}).get(other, -1)
         return known.states.get(other) == "alive" and known.incarnations[other] > old
