Tests of a router in its fleet, and of one without: no library, no UDP socket

Need: a router without [fleet] pays nothing, one with it waits for its port and logs a flood sparsely.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,14 +1,20 @@
-"""The operators' ``[fleet]`` section, and the incarnation kept across restarts."""
+"""The operators' ``[fleet]`` section, the incarnation kept across restarts, and a router in its fleet."""
 
 from __future__ import annotations
 
 import json
 from pathlib import Path
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
+from fleet_seam import Told
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import CannotListenError
 
-from thornjunction.runtime import incarnation
+from thornjunction.memory.deadlines import Deadlines
+from thornjunction.net.alarm import core_ms
+from thornjunction.runtime import fleet, incarnation
 from thornjunction.runtime.config import ConfigError
 from thornjunction.runtime.extras import load_extras
 from thornjunction.runtime.incarnation import STRIDE, next_incarnation
@@ -113,3 +119,83 @@
 def test_a_folder_that_can_not_be_written_costs_no_start(tmp_path: Path) -> None:
     (tmp_path / "file").write_text("")
     assert life(tmp_path / "file", 6e6) == 6_000_000
+
+
+class Reactor:
+    """Hands out one UDP port, which is taken at first."""
+
+    def __init__(self, refusals: int = 0) -> None:
+        self.refusals, self.asked, self.sent, self.closed = refusals, 0, list[tuple[bytes, Any]](), False
+
+    def listenUDP(self, port: int, protocol: Any, **_: Any) -> Reactor:  # noqa: N802
+        self.asked += 1
+        if self.asked <= self.refusals:
+            raise CannotListenError("127.0.0.1", port, OSError("taken"))
+        protocol.makeConnection(self)
+        return self
+
+    def getHost(self) -> Any:  # noqa: N802
+        return IPv4Address("UDP", "127.0.0.1", 8500)
+
+    def write(self, data: bytes, to: Any) -> None:
+        self.sent.append((data, to))
+
+    def stopListening(self) -> None:  # noqa: N802
+        self.closed = True
+
+
+class Member:
+    """A router's membership on a fake reactor, and its log."""
+
+    def __init__(self, folder: Path, monkeypatch: pytest.MonkeyPatch, refusals: int = 0, **more: Any) -> None:
+        self.log, self.reactor, self.deadlines = Mock(), Reactor(refusals), Deadlines()
+        monkeypatch.setattr(fleet, "log", self.log)
+        told = load_extras(written(folder, **more)).fleet
+        assert told is not None
+        self.fleet = fleet.Fleet(told, "r1", self.deadlines)
+        self.fleet.listen(self.reactor)
+
+    def noted(self, word: str) -> list[dict[str, Any]]:
+        calls = self.log.info.call_args_list + self.log.warning.call_args_list
+        return [call.kwargs for call in calls if call.args[0] == word]
+
+
+def test_a_router_joins_and_leaves(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    member = Member(tmp_path, monkeypatch)
+    assert {to for _, to in member.reactor.sent} == {("127.0.0.1", 8501)}
+    lines = member.fleet.view().decode().splitlines()
+    number = member.fleet.machine.view(core_ms()).members["r1"].incarnation
+    assert lines == ["ACK", f"member r1 alive {number}", "mode rejoining", "majority 0", "--"]
+    member.fleet.leave()
+    assert member.reactor.closed and member.noted("member")[-1]["state"] == "left"
+
+
+def test_a_port_that_another_process_still_holds_is_waited_for(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    member = Member(tmp_path, monkeypatch, refusals=2)
+    for _ in range(2):
+        assert not member.reactor.sent
+        member.deadlines.run_due(core_ms() + fleet.AGAIN_MS)
+    assert member.reactor.sent and len(member.noted("fleet-listening")) == 1
+    gone = Member(tmp_path, monkeypatch, refusals=9)
+    gone.fleet.leave()
+    gone.deadlines.run_due(core_ms() + fleet.AGAIN_MS)
+    assert gone.reactor.asked == 1
+
+
+def test_what_is_refused_is_logged_sparsely(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    member = Member(tmp_path, monkeypatch)
+    for _ in range(9):
+        member.fleet.port.datagramReceived(b"junk" * 20, ("127.0.0.1", 9))
+    member.fleet.port.tell(Told("unknown", {}))
+    assert [noted["times"] for noted in member.noted("refused")] == [1, 2, 4, 8]
+    assert not member.noted("unknown")
+
+
+def test_timings_that_the_machine_does_not_take_are_named(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for timings in ({"probe_ever_ms": 5}, {"probe_timeout_ms": 5000}, {"secret": 5}):
+        with pytest.raises(ConfigError, match="fleet.timings"):
+            Member(tmp_path, monkeypatch, timings=timings)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -226,6 +226,7 @@
             assert call(door, "check") == "ACK\n" and call(door, "drain-on") == "ACK\n"
             assert call(door, "check") == "NAK\n" and call(door, "drain-off") == "ACK\n"
             assert "router.cfg_invalid=0\n" in call(door, "vars")
+            assert call(door, "fleet").startswith("NAK") and not udp_sockets(program.pid)
             path.write_text("{")
             program.send_signal(signal.SIGHUP)
             assert program.stderr is not None
@@ -246,6 +247,13 @@
             program.communicate()
 
 
+def udp_sockets(pid: int) -> set[str]:
+    """What a process holds of them, by inode."""
+    held = {os.readlink(fd) for fd in Path(f"/proc/{pid}/fd").iterdir() if fd.is_symlink()}
+    rows = Path(f"/proc/{pid}/net/udp").read_text().splitlines()[1:]
+    return {f"socket:[{row.split()[9]}]" for row in rows} & held
+
+
 def address(of: socket.socket) -> str:
     return f"127.0.0.1:{of.getsockname()[1]}"
 
@@ -280,4 +288,5 @@
     code = "import sys, thornjunction.runtime.start, thornjunction.runtime.service; print(*sys.modules)"
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, text=True).stdout
     assert "twisted" in loaded.split()
-    assert not {"click", "joserfc", "re2"} & set(loaded.split())
+    assert not {"click", "joserfc", "msgspec", "re2"} & set(loaded.split())
+    assert not [name for name in loaded.split() if name.startswith("fleet_") or name.endswith(".fleet")]
