--- a/packages/fleet-rig/src/fleet_rig/__main__.py
+++ b/packages/fleet-rig/src/fleet_rig/__main__.py
@@ -4,12 +4,15 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 from twisted.internet import reactor as _reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ReactorNotRunning
 
 from fleet_rig.demo import Demo
 from fleet_rig.play import Troupe
@@ -26,13 +29,25 @@
     told = parser.parse_args()
     if told.command == "play":
         troupe = Troupe(reactor, told.jobs)
-        return _run(troupe, lambda: troupe.play(told.files).addCallback(lambda _: reactor.stop())) or (
+        return _run(troupe, lambda: troupe.play(told.files).addCallback(lambda _: _end())) or (
             troupe.missed > 0
         )
     demo = Demo(reactor, [f"router-{number + 1}" for number in range(told.routers)])
     return _run(demo, lambda: Deferred.fromCoroutine(demo.play()))
 
 
+def _end() -> None:
+    """Stop the reactor, unless it is stopping."""
+    with suppress(ReactorNotRunning):
+        reactor.stop()
+
+
+def _end_at_the_first_signal() -> None:
+    """Those that follow change nothing: ending the processes takes a moment."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(_end))
+
+
 def _run(acted: Troupe | Demo, begin: Any) -> int:
     """Until it ends, or a signal does; whatever happens, the processes it started end before this one."""
     faults: list[Any] = []
@@ -40,8 +55,9 @@
     def fault(failure: Any) -> None:
         faults.append(failure)
         print(failure.getTraceback(), file=sys.stderr)
-        reactor.stop()
+        _end()
 
+    reactor.callWhenRunning(_end_at_the_first_signal)
     reactor.callWhenRunning(lambda: begin().addErrback(fault))
     reactor.addSystemEventTrigger("before", "shutdown", acted.stop)
     reactor.run()
--- a/packages/fleet-rig/src/fleet_rig/acts.py
+++ b/packages/fleet-rig/src/fleet_rig/acts.py
@@ -35,6 +35,10 @@
                     await self.rig.start(name)
             case "kill" | "pause" | "continue" | "leave":
                 await self._signal(verb, rest)
+            case "tear":
+                for name in rest:
+                    await self.rig.ended(name)
+                    self.rig.tear(name)
             case "traffic":
                 await self.rig.traffic(int(rest[0]), self.within_ms)
             case "wait":
--- a/packages/fleet-rig/src/fleet_rig/demo.py
+++ b/packages/fleet-rig/src/fleet_rig/demo.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
+from fleet_rig.cast import Cast
 from fleet_rig.rig import Rig
 
 WITHIN_MS = 30_000.0
@@ -16,7 +17,8 @@
     """A rig that runs until it is told to stop."""
 
     def __init__(self, reactor: Any, names: Sequence[str]) -> None:
-        self.rig = Rig(reactor, names, names)
+        self.rig = Rig(reactor, Cast(tuple(names)))
+        self.shown = 0
 
     async def play(self) -> None:
         """Start all, wait until each knows the others, and say what can be tried."""
@@ -25,6 +27,15 @@
         print("starting", *self.rig.names, flush=True)
         await self.rig.until(self._all_known, WITHIN_MS, "all routers know each other")
         print(self.greeting(), flush=True)
+        self.shown = len(self.rig.record.entries)
+        self.rig.on_event = self._show
+
+    def _show(self) -> None:
+        """Print what was not printed yet of what routers said and of their ends."""
+        entries = self.rig.record.entries
+        for entry in entries[self.shown :]:
+            print(f"{entry.at / 1000.0:9.3f} s  {entry.node}: {entry.text}", flush=True)
+        self.shown = len(entries)
 
     def _all_known(self) -> bool:
         known = self.rig.record.known
@@ -46,7 +57,7 @@
                 *lines,
                 f"Ask one what it knows:  printf 'fleet\\n' | nc {host} {port}",
                 "End one in order with SIGTERM, at once with SIGKILL, or hold it with SIGSTOP and SIGCONT,",
-                "and ask the others again.  SIGTERM or Ctrl-C here ends them all.",
+                "and see here what the others say.  SIGTERM or Ctrl-C here ends them all.",
             ]
         )
 
--- a/packages/fleet-rig/src/fleet_rig/files.py
+++ b/packages/fleet-rig/src/fleet_rig/files.py
@@ -14,15 +14,6 @@
 from thornjunction.demo.standins import DemoDiscovery, DemoShelf
 from thornjunction.demo.start import SETTINGS, listen
 
-TIMINGS: Mapping[str, float] = {
-    "probe_every_ms": 200,
-    "probe_timeout_ms": 80,
-    "suspicion_least_ms": 600,
-    "suspicion_most_ms": 2400,
-    "sync_every_ms": 500,
-    "rejoin_ms": 1000,
-}  # a failure is found in one to three seconds, and a busy machine does not look like one
-
 
 def start_standins(reactor: Any) -> int:
     """An edge, an origin and a discovery service that lists them, on free ports; the port of the last."""
@@ -56,25 +47,22 @@
 
 
 def write_extras(
-    folder: Path,
-    public: Address,
-    seeds: Sequence[Address],
-    voters: Sequence[str],
-    secret: bytes,
-    timings: Mapping[str, float],
+    folder: Path, public: Address, seeds: Sequence[Address], secret: bytes, settings: Mapping[str, object]
 ) -> None:
     """The operators' file.  The router's own port is any: the others know its public address."""
     (folder / "fleet.key").write_bytes(secret)
-    lines = [
-        "[fleet]",
-        'listen = "127.0.0.1:0"',
-        f'advertise = "{public[0]}:{public[1]}"',
-        'fleet = "rig"',
-        'secret_file = "fleet.key"',
-        f"seeds = {json.dumps([f'{host}:{port}' for host, port in seeds])}",
-        f"voters = {json.dumps(list(voters))}",
-        'data = "data"',
-        "[fleet.timings]",
-        *(f"{name} = {value}" for name, value in timings.items()),
-    ]
-    (folder / "extras.toml").write_text("\n".join(lines) + "\n")
+    told = {
+        "listen": "127.0.0.1:0",
+        "advertise": f"{public[0]}:{public[1]}",
+        "secret_file": "fleet.key",
+        "seeds": [f"{host}:{port}" for host, port in seeds],
+        "data": "data",
+    }
+    lines = [f"{key} = {_toml(value)}" for key, value in (told | dict(settings)).items()]
+    (folder / "extras.toml").write_text("\n".join(["[fleet]", *lines, ""]))
+
+
+def _toml(value: object) -> str:
+    if isinstance(value, Mapping):
+        return "{" + ", ".join(f"{key} = {_toml(below)}" for key, below in value.items()) + "}"
+    return json.dumps(value)
--- a/packages/fleet-rig/src/fleet_rig/play.py
+++ b/packages/fleet-rig/src/fleet_rig/play.py
@@ -7,10 +7,10 @@
 from pathlib import Path
 from typing import Any
 
-from fleet_sim.scenario import load
+from fleet_sim.scenario import FormError, load
 from twisted.internet.defer import Deferred, DeferredSemaphore, gatherResults
 
-from fleet_rig.stage import Stage
+from fleet_rig.stage import Stage, Verdict
 
 
 class Troupe:
@@ -20,7 +20,7 @@
     def __init__(self, reactor: Any, jobs: int) -> None:
         self.reactor, self.places = reactor, DeferredSemaphore(jobs)
         self.open: set[Stage] = set()
-        self.missed = 0
+        self.missed, self.stopping = 0, False
 
     def play(self, paths: Sequence[Path]) -> Deferred[Any]:
         """Fires when all have ended."""
@@ -30,14 +30,24 @@
         return Deferred.fromCoroutine(self._play(path))
 
     async def _play(self, path: Path) -> None:
-        stage = Stage(self.reactor, load(path))
+        if self.stopping:
+            return
+        try:
+            stage = Stage(self.reactor, load(path))
+        except (FormError, ValueError) as error:
+            self._tell(path, Verdict(str(error), 0.0, ""))
+            return
         self.open.add(stage)
         verdict = await stage.play()
         self.open.discard(stage)
+        self._tell(path, verdict)
+
+    def _tell(self, path: Path, verdict: Verdict) -> None:
         self.missed += bool(verdict.why)
         told = {"name": path.stem, "why": verdict.why, "seconds": round(verdict.seconds, 2)}
         print(json.dumps(told | {"timeline": verdict.timeline}), flush=True)
 
     def stop(self) -> Deferred[Any]:
-        """End all that still plays."""
+        """End all that still plays, and begin no more."""
+        self.stopping = True
         return gatherResults([Deferred.fromCoroutine(stage.rig.stop()) for stage in self.open])
--- a/packages/fleet-rig/src/fleet_rig/rig.py
+++ b/packages/fleet-rig/src/fleet_rig/rig.py
@@ -5,20 +5,20 @@
 import shutil
 import signal
 import tempfile
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
-from fleet_rig.files import TIMINGS, start_standins, write_config, write_extras
+from fleet_rig.cast import Cast
+from fleet_rig.files import start_standins, write_config, write_extras
 from fleet_rig.node import Node
 from fleet_rig.record import Record
 from fleet_rig.relay import Address, Relay
 
 END_MS = 10_000.0  # from a signal to the exit, a drain between them
 MOST_STARTS = 5  # of one life, where a port was taken between its draw and its use
-SECRET, OTHER_SECRET = b"r" * 32, b"o" * 32
 
 
 class NeverSeenError(Exception):
@@ -26,19 +26,10 @@
 
 
 class Rig:
-    """Routers by name.  ``foreign`` ones have a secret of their own."""
-
-    def __init__(
-        self,
-        reactor: Any,
-        names: Sequence[str],
-        voters: Sequence[str],
-        foreign: Iterable[str] = (),
-        timings: Mapping[str, float] | None = None,
-        seed: int = 1,
-    ) -> None:
-        self.reactor, self.names, self.voters = reactor, tuple(names), tuple(voters)
-        self.foreign, self.timings = frozenset(foreign), {**TIMINGS, **(timings or {})}
+    """The routers of a cast.  Made with the reactor that is to run; ``stop`` ends all."""
+
+    def __init__(self, reactor: Any, cast: Cast, seed: int = 1) -> None:
+        self.reactor, self.cast, self.names = reactor, cast, cast.names
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-rig-"))
         since = reactor.seconds()
         self.record = Record(lambda: float(reactor.seconds() - since) * 1000.0)
@@ -69,9 +60,9 @@
         folder = self.folder / name
         folder.mkdir(exist_ok=True)
         self.doors[name] = write_config(folder, name, self.channel)
-        seeds = [address for other, address in self.relay.public.items() if other != name]
-        secret = OTHER_SECRET if name in self.foreign else SECRET
-        write_extras(folder, self.relay.public[name], seeds, self.voters, secret, self.timings)
+        public, cast = self.relay.public, self.cast
+        seeds = [public[seed] for seed in cast.seeds(name)]
+        write_extras(folder, public[name], seeds, cast.secret(name), cast.settings(name))
         self.record.begin(name)
         self.nodes[name] = node = Node(name, self._heard)
         node.start(self.reactor, folder / "config.json", folder / "extras.toml")
@@ -86,6 +77,11 @@
         """Remove a router's data, as a lost disk would."""
         shutil.rmtree(self.folder / name / "data", ignore_errors=True)
 
+    def tear(self, name: str) -> None:
+        """Cut each file of a router's data in half, as a disk that lied about an fsync might."""
+        for path in (self.folder / name / "data").iterdir():
+            path.write_bytes(path.read_bytes()[: path.stat().st_size // 2])
+
     def signal(self, name: str, number: int) -> None:
         said = {signal.SIGKILL: "killed", signal.SIGSTOP: "paused", signal.SIGCONT: "continued"}
         if number in said:
--- a/packages/fleet-rig/src/fleet_rig/stage.py
+++ b/packages/fleet-rig/src/fleet_rig/stage.py
@@ -11,6 +11,7 @@
 from twisted.internet.error import ConnectError
 
 from fleet_rig.acts import Acts
+from fleet_rig.cast import Cast
 from fleet_rig.door import ask
 from fleet_rig.rig import NeverSeenError, Rig
 
@@ -28,16 +29,13 @@
     """One scenario on one rig.  FormError for what a rig can't do."""
 
     def __init__(self, reactor: Any, scenario: Scenario, seed: int = 1) -> None:
-        self.reactor, self.scenario, options = reactor, scenario, dict(scenario.options)
-        self.foreign = frozenset(options.pop("foreign", ()))
-        voters = options.pop("voters", tuple(n for n in scenario.names if n not in self.foreign))
-        timings = dict(_timing(word) for word in options.pop("timings", ()))
+        self.reactor, self.scenario = reactor, scenario
+        if timed := [step for step in scenario.steps if step.at_ms or step.pause_ms]:
+            raise FormError(f"line {timed[0].line}: a rig knows no times")
         lines = [line for step in scenario.steps for line in step.expected]
-        if options or any(step.at_ms or step.pause_ms for step in scenario.steps):
-            raise FormError(f"a rig knows no times, nor {sorted(options)}")
         if ordered := [line for line in lines if line.ordered]:
-            raise FormError(f"a rig holds no order: {ordered[0]}")
-        self.rig = Rig(reactor, scenario.names, voters, self.foreign, timings, seed)
+            raise FormError(f"{ordered[0]}: a rig holds no order")
+        self.rig = Rig(reactor, Cast.of(scenario), seed)
         self.acts = Acts(self.rig, scenario.for_ms)
         self.rig.on_event = self._forbid
         self.since, self.before = 0, dict[str, Mapping[str, int]]()
@@ -95,7 +93,7 @@
 
     def _settled(self) -> bool:
         """Each router that runs last called all others that run alive."""
-        running = self.rig.running - self.foreign
+        running = self.rig.running - self.rig.cast.outside
         known = self.rig.record.known
         return all(known[a].states.get(b) == "alive" for a in running for b in running - {a})
 
@@ -118,8 +116,3 @@
             reply = await ask(self.reactor, self.rig.doors[name], "fleet")
             if not (reply.startswith("ACK\n") and reply.endswith("\n--\n") and text in reply):
                 raise NeverSeenError(f"{line}: {reply!r}")
-
-
-def _timing(word: str) -> tuple[str, float]:
-    name, _, value = word.partition("=")
-    return name, float(value)
--- a/packages/fleet-rig/tests/test_scenes.py
+++ b/packages/fleet-rig/tests/test_scenes.py
@@ -45,9 +45,10 @@
     ("text", "names"),
     [
         (HEAD + "at 5 wait", "no times"),
+        (HEAD + "voters: c\nthen wait", "no node c"),
         (HEAD + "then 5 wait", "no times"),
         (HEAD + "votes: a\nthen wait", "votes"),
-        (HEAD + "then wait | a: x\n | then b: x", "no order: line 4"),
+        (HEAD + "then wait | a: x\n | then b: x", "line 4: then b: x: a rig holds no order"),
     ],
 )
 def test_what_a_rig_can_not_do_is_refused(text: str, names: str) -> None:
