--- a/packages/fleet-net/src/fleet_net/port.py
+++ b/packages/fleet-net/src/fleet_net/port.py
@@ -15,6 +15,7 @@
 from twisted.internet import protocol
 
 MAX_DATAGRAM = 256  # bytes, in and out
+AGAIN_MS = 1_000.0  # until a timer in which the machine failed is due once more
 TURN, LOOKED = 32, 512  # datagrams of one turn: handed to the machine; read at all
 
 log = logging.getLogger(__name__)
@@ -90,10 +91,16 @@
             return
         now = self.clock()
         actions: list[Action] = []
-        self._guarded("handle", lambda: actions.extend(self.machine.handle(now, event)))
+        if not self._guarded("handle", lambda: actions.extend(self.machine.handle(now, event))):
+            self._again(event)
         for action in actions:
             self._guarded("action", lambda action=action: self._carry_out(action))  # type: ignore[misc]
 
+    def _again(self, event: Event) -> None:
+        """A timer in which the machine failed may have been its last: it must not stand still for good."""
+        if isinstance(event, TimerFired):
+            self._guarded("schedule", lambda: self.schedule(AGAIN_MS, lambda: self.feed(event)))
+
     def _carry_out(self, action: Action) -> None:
         match action:
             case Send(to, data):
@@ -114,11 +121,14 @@
         except OSError:  # a full buffer or no route: for the machine no more than a loss
             self.counts["unsent"] += 1
 
-    def _guarded(self, what: str, call: Callable[[], object]) -> None:
-        """A fault must neither end the process nor fill its log: the 1st, 2nd, 4th, 8th... are written."""
+    def _guarded(self, what: str, call: Callable[[], object]) -> bool:
+        """Whether it went well.  A fault must neither end the process nor fill its log: the 1st, 2nd, 4th,
+        8th... are written."""
         try:
             call()
+            return True
         except Exception:
             self.counts["fault"] += 1
             if self.counts["fault"].bit_count() == 1:
                 log.exception("fleet fault in %s, %d so far", what, self.counts["fault"])
+            return False
--- a/packages/fleet-net/tests/test_port.py
+++ b/packages/fleet-net/tests/test_port.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from fleet_net import LOOKED, MAX_DATAGRAM, TURN, FleetPort
+from fleet_net import AGAIN_MS, LOOKED, MAX_DATAGRAM, TURN, FleetPort
 from fleet_seam import Action, Event, Heard, Leaving, Send, SetTimer, Started, TimerFired, Told
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
@@ -123,6 +123,12 @@
     hall.machine.script[Heard] = [Send(PEER, b"x")]
     hall.port.datagramReceived(b"x", PEER)
     assert hall.port.counts["unsent"] == 1 and hall.port.counts["fault"] == 10
+    hall.machine.script[TimerFired] = RuntimeError("once")
+    hall.turn(6.0)
+    hall.machine.script[TimerFired] = []
+    hall.turn(6.0 + AGAIN_MS)
+    fired = [at for at, event in hall.machine.events if event == TimerFired(1)]
+    assert fired == [6.0, 6.0, 6.0 + AGAIN_MS, 6.0 + AGAIN_MS]
 
 
 def test_leaving_is_the_last_event() -> None:
--- a/packages/fleet-rig/src/fleet_rig/record.py
+++ b/packages/fleet-rig/src/fleet_rig/record.py
@@ -22,6 +22,7 @@
     states: dict[str, str] = field(default_factory=dict)
     incarnations: dict[str, int] = field(default_factory=dict)
     events: set[str] = field(default_factory=set)
+    majority: bool = False
 
 
 class Record:
@@ -58,6 +59,8 @@
         if event == "member":
             known.states[str(fields["name"])] = str(fields["state"])
             known.incarnations[str(fields["name"])] = int(fields["incarnation"])
+        if event == "majority":
+            known.majority = bool(fields["held"])
         if event in NOTED:
             told = Told(event, {key: value for key, value in fields.items() if key not in OF_THE_LOG})
             self.entries.append(Entry(self.clock(), Kind.TOLD, name, told_text(told)))
--- a/packages/fleet-rig/src/fleet_rig/stage.py
+++ b/packages/fleet-rig/src/fleet_rig/stage.py
@@ -48,6 +48,7 @@
             for name in self.scenario.names:
                 if name not in self.scenario.later:
                     await self.rig.start(name)
+            await self.rig.until(self._settled, self.scenario.for_ms, "settled, before the first step")
             for step in self.scenario.steps:
                 await self._play(step)
         except (NeverSeenError, ConnectError) as never:
@@ -61,7 +62,7 @@
 
     async def _play(self, step: Step) -> None:
         record = self.rig.record
-        self.since = len(record.entries) if step is not self.scenario.steps[0] else 0
+        self.since = len(record.entries)
         self.before = {name: dict(known.incarnations) for name, known in record.known.items()}
         never = [(line, self.since) for line in step.expected if line.never]
         self.forbidden = [(line, 0) for line in self.scenario.never] + never
@@ -92,10 +93,11 @@
         )
 
     def _settled(self) -> bool:
-        """Each router that runs last called all others that run alive."""
+        """Each router of the fleet that runs last said that it is with the majority, and all others alive."""
         running = self.rig.running - self.rig.cast.outside
         known = self.rig.record.known
-        return all(known[a].states.get(b) == "alive" for a in running for b in running - {a})
+        met = all(known[a].states.get(b) == "alive" for a in running for b in running - {a})
+        return met and all(known[name].majority for name in running)
 
     def _stands(self, name: str, line: Expected) -> bool:
         """The last that a router said on a matter since it started (``majority``, ``mode``, ``member N``)."""
