Fleet: names checked, a leave before the port is open, four more scenarios

Need: a name with a newline would stand on the operators' door, and a router that ended before it listened logged a fault.

--- a/packages/fleet-net/src/fleet_net/port.py
+++ b/packages/fleet-net/src/fleet_net/port.py
@@ -54,8 +54,10 @@
         self.ended = True
 
     def leave(self) -> None:
-        """Tell the machine that this process ends in order, once; nothing reaches it after that."""
-        self.feed(Leaving())
+        """Tell the machine that this process ends in order, once; nothing reaches it after that.  One that
+        never listened knows nobody to tell."""
+        if self.transport is not None:
+            self.feed(Leaving())
         self.ended = True
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
--- a/packages/fleet-net/tests/test_port.py
+++ b/packages/fleet-net/tests/test_port.py
@@ -139,6 +139,9 @@
     hall.turn(10.0)
     assert [event for _, event in hall.machine.events] == [Started(), Leaving()]
     assert hall.transport.sent == [(b"bye", PEER)]
+    silent = FleetPort(hall.machine, lambda: 0.0, hall.schedule, print)
+    silent.leave()
+    assert silent.ended and not silent.counts
 
 
 class PairTest(TestCase):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -68,6 +68,8 @@
         ({"voters": ["r1", "r1"]}, "fleet.voters"),
         ({"voters": []}, "fleet.voters"),
         ({"fleet": None}, "fleet"),
+        ({"fleet": "two words"}, "'two words'"),
+        ({"name": "x" * 33}, "a name is"),
         ({"timings": {"probe_every_ms": 0}}, "fleet.timings.probe_every_ms"),
         ({"timings": {"indirect": "x"}}, "timings.indirect"),
     ],
@@ -181,7 +183,7 @@
     gone = Member(tmp_path, monkeypatch, refusals=9)
     gone.fleet.leave()
     gone.deadlines.run_due(core_ms() + fleet.AGAIN_MS)
-    assert gone.reactor.asked == 1
+    assert gone.reactor.asked == 1 and not gone.fleet.port.counts
 
 
 def test_what_is_refused_is_logged_sparsely(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/thornjunction/runtime/fleet_settings.py
+++ b/thornjunction/runtime/fleet_settings.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from ipaddress import ip_address
@@ -12,6 +13,7 @@
 from thornjunction.settings import Params
 
 Address = tuple[str, int]
+NAME = re.compile(r"[A-Za-z0-9._-]{1,32}")
 LEAST_SECRET = 32  # bytes
 MOST_TIMING = 3_600_000  # ms, or of a count
 
@@ -53,13 +55,19 @@
         data=folder / params.get("data", str),
         timings=_timings(params.below("timings")) if "timings" in params.data else {},
     )
-    if not settings.fleet or not settings.voters:
-        raise ConfigError("fleet.fleet, fleet.voters: empty")
-    if len(set(settings.voters)) < len(settings.voters):
-        raise ConfigError("fleet.voters: one name twice")
+    if not settings.voters or len(set(settings.voters)) < len(settings.voters):
+        raise ConfigError("fleet.voters: empty, or one name twice")
+    for name in (settings.fleet, *settings.voters, *([settings.name] if settings.name else [])):
+        check_name(name)
     return settings
 
 
+def check_name(name: str) -> None:
+    """ConfigError for what would not stand in a datagram or on a line of the operators' door."""
+    if not NAME.fullmatch(name):
+        raise ConfigError(f"fleet: a name is 1 to 32 letters, digits, dots and dashes, not {name[:40]!r}")
+
+
 def _address(key: str, text: str, private: bool) -> Address:
     """Loopback, or private where the operators say so; never public, and never all addresses at once."""
     host, port = address_of(key, text)
