--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,203 @@
+"""The operators' ``[fleet]`` section, the incarnation kept across restarts, and a router in its fleet."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+from unittest.mock import Mock
+
+import pytest
+from fleet_seam import Told
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import CannotListenError
+
+from thornjunction.memory.deadlines import Deadlines
+from thornjunction.net.alarm import core_ms
+from thornjunction.runtime import fleet, incarnation
+from thornjunction.runtime.config import ConfigError
+from thornjunction.runtime.extras import load_extras
+from thornjunction.runtime.incarnation import STRIDE, next_incarnation
+
+FULL: dict[str, Any] = {
+    "listen": "127.0.0.1:8500",
+    "fleet": "north",
+    "secret_file": "key",
+    "seeds": ["127.0.0.1:8501"],
+    "voters": ["r1", "r2", "r3"],
+    "data": "data",
+}
+
+
+def toml(value: Any) -> str:
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{key} = {toml(below)}" for key, below in value.items()) + "}"
+    return json.dumps(value)
+
+
+def written(folder: Path, secret: bytes = b"s" * 32, **more: Any) -> Path:
+    """An operators' file with a whole section, but for what is given."""
+    told = FULL | more
+    lines = ["[fleet]", *(f"{key} = {toml(value)}" for key, value in told.items() if value is not None)]
+    (folder / "key").write_bytes(secret)
+    path = folder / "extras.toml"
+    path.write_text(
+        "\n".join(lines).replace("True", "true").replace("{'", "{").replace("':", " =").replace(", '", ", ")
+    )
+    return path
+
+
+def test_a_whole_section_is_taken(tmp_path: Path) -> None:
+    told = load_extras(written(tmp_path, timings={"probe_every_ms": 200.5, "indirect": 2})).fleet
+    assert told is not None and told.advertise == told.listen == ("127.0.0.1", 8500)
+    assert (told.fleet, told.name, told.data) == ("north", "", tmp_path / "data")
+    assert told.timings == {"probe_every_ms": 200.5, "indirect": 2} and told.voters == ("r1", "r2", "r3")
+    assert "sss" not in repr(told)
+
+
+@pytest.mark.parametrize(
+    ("more", "names"),
+    [
+        ({"listen": "10.0.0.4:8500"}, "fleet.listen"),
+        ({"listen": "0.0.0.0:8500", "private": True}, "fleet.listen"),
+        ({"listen": "127.0.0.1:0"}, "fleet.listen"),
+        ({"listen": "10.0.0.4:0", "advertise": "127.0.0.1:8500"}, "fleet.listen"),
+        ({"seeds": ["8.8.8.8:1"], "private": True}, "fleet.seeds"),
+        ({"secret": b"s" * 31}, "fleet.secret_file"),
+        ({"secret_file": "none"}, "fleet.secret_file"),
+        ({"voters": ["r1", "r1"]}, "fleet.voters"),
+        ({"voters": []}, "fleet.voters"),
+        ({"fleet": None}, "fleet"),
+        ({"fleet": "two words"}, "'two words'"),
+        ({"name": "x" * 33}, "a name is"),
+        ({"timings": {"probe_every_ms": 0}}, "fleet.timings.probe_every_ms"),
+        ({"timings": {"indirect": "x"}}, "timings.indirect"),
+    ],
+)
+def test_a_faulty_section_is_named(more: dict[str, Any], names: str, tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=names):
+        load_extras(written(tmp_path, **more))
+
+
+def test_private_addresses_only_where_the_operators_say_so(tmp_path: Path) -> None:
+    path = written(tmp_path, listen="10.0.0.4:8500", private=True, advertise="10.0.0.5:8501")
+    told = load_extras(path).fleet
+    assert told is not None and (told.listen, told.advertise) == (("10.0.0.4", 8500), ("10.0.0.5", 8501))
+
+
+def life(folder: Path, now: float = 5e6, fleet: str = "north", name: str = "r1") -> int:
+    return next_incarnation(folder, fleet, name, lambda: now)
+
+
+def test_each_life_has_a_higher_incarnation(tmp_path: Path) -> None:
+    """Also where the clock stands or was set back; and the file holds what was taken."""
+    folder = tmp_path / "data"
+    first, second, third, fourth = (life(folder, now) for now in (5e6, 5e6, 4e6, 9e6))
+    assert (first, second, third, fourth) == (5_000_000, first + STRIDE, second + STRIDE, 9_000_000)
+
+
+NEWER = {"format": 2, "fleet": "north", "name": "r1", "incarnation": 1}
+SPOILT: dict[str, Any] = {
+    "missing": lambda path: path.unlink(),
+    "torn": lambda path: path.write_bytes(path.read_bytes()[:20]),
+    "of another": lambda path: life(path.parent, 1e9, name="r2"),
+    "of format": lambda path: incarnation._write(
+        path, {"format": 2, "fleet": "", "name": "", "incarnation": 1}
+    ),
+    "not an inc": lambda path: incarnation._write(path, {"format": 1}),
+}
+
+
+@pytest.mark.parametrize("spoilt", SPOILT)
+def test_a_file_that_can_not_be_used_is_named_and_the_clock_stands_in(spoilt: str, tmp_path: Path) -> None:
+    life(tmp_path, 5e6)
+    SPOILT[spoilt](tmp_path / "incarnation")
+    with pytest.raises(incarnation.IncarnationError, match=spoilt):
+        incarnation._read(tmp_path / "incarnation", "north", "r1")
+    assert life(tmp_path, 6e6) == 6_000_000
+    assert life(tmp_path, 6e6) == 6_000_000 + STRIDE
+
+
+def test_a_folder_that_can_not_be_written_costs_no_start(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    assert life(tmp_path / "file", 6e6) == 6_000_000
+
+
+class Reactor:
+    """Hands out one UDP port, which is taken at first."""
+
+    def __init__(self, refusals: int = 0) -> None:
+        self.refusals, self.asked, self.sent, self.closed = refusals, 0, list[tuple[bytes, Any]](), False
+
+    def listenUDP(self, port: int, protocol: Any, **_: Any) -> Reactor:  # noqa: N802
+        self.asked += 1
+        if self.asked <= self.refusals:
+            raise CannotListenError("127.0.0.1", port, OSError("taken"))
+        protocol.makeConnection(self)
+        return self
+
+    def getHost(self) -> Any:  # noqa: N802
+        return IPv4Address("UDP", "127.0.0.1", 8500)
+
+    def write(self, data: bytes, to: Any) -> None:
+        self.sent.append((data, to))
+
+    def stopListening(self) -> None:  # noqa: N802
+        self.closed = True
+
+
+class Member:
+    """A router's membership on a fake reactor, and its log."""
+
+    def __init__(self, folder: Path, monkeypatch: pytest.MonkeyPatch, refusals: int = 0, **more: Any) -> None:
+        self.log, self.reactor, self.deadlines = Mock(), Reactor(refusals), Deadlines()
+        monkeypatch.setattr(fleet, "log", self.log)
+        told = load_extras(written(folder, **more)).fleet
+        assert told is not None
+        self.fleet = fleet.Fleet(told, "r1", self.deadlines)
+        self.fleet.listen(self.reactor)
+
+    def noted(self, word: str) -> list[dict[str, Any]]:
+        calls = self.log.info.call_args_list + self.log.warning.call_args_list
+        return [call.kwargs for call in calls if call.args[0] == word]
+
+
+def test_a_router_joins_and_leaves(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    member = Member(tmp_path, monkeypatch)
+    assert {to for _, to in member.reactor.sent} == {("127.0.0.1", 8501)}
+    lines = member.fleet.view().decode().splitlines()
+    number = member.fleet.machine.view(core_ms()).members["r1"].incarnation
+    assert lines == ["ACK", f"member r1 alive {number}", "mode rejoining", "majority 0", "--"]
+    member.fleet.leave()
+    assert member.reactor.closed and member.noted("member")[-1]["state"] == "left"
+
+
+def test_a_port_that_another_process_still_holds_is_waited_for(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    member = Member(tmp_path, monkeypatch, refusals=2)
+    for _ in range(2):
+        assert not member.reactor.sent
+        member.deadlines.run_due(core_ms() + fleet.AGAIN_MS)
+    assert member.reactor.sent and len(member.noted("fleet-listening")) == 1
+    gone = Member(tmp_path, monkeypatch, refusals=9)
+    gone.fleet.leave()
+    gone.deadlines.run_due(core_ms() + fleet.AGAIN_MS)
+    assert gone.reactor.asked == 1 and not gone.fleet.port.counts
+
+
+def test_what_is_refused_is_logged_sparsely(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    member = Member(tmp_path, monkeypatch)
+    for _ in range(9):
+        member.fleet.port.datagramReceived(b"junk" * 20, ("127.0.0.1", 9))
+    member.fleet.port.tell(Told("unknown", {}))
+    assert [noted["times"] for noted in member.noted("refused")] == [1, 2, 4, 8]
+    assert not member.noted("unknown")
+
+
+def test_timings_that_the_machine_does_not_take_are_named(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for timings in ({"probe_ever_ms": 5}, {"probe_timeout_ms": 5000}, {"secret": 5}):
+        with pytest.raises(ConfigError, match="fleet.timings"):
+            Member(tmp_path, monkeypatch, timings=timings)
