Split the decisions into a package of small files; its limits stand beside it

Need: rules.py held budgets, gates, ranking, placement, attempts and the router in one file of 574 lines, where a limit for the fleet could be tested only through a whole router.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,7 @@
 from typing import Any, TypeVar
 
 from thornjunction import interface as api
-from thornjunction.rules import Router
+from thornjunction.policy.router import Router
 
 A = TypeVar("A")
 
--- a/tests/test_fleet_origin.py
+++ b/tests/test_fleet_origin.py
@@ -16,7 +16,7 @@
 
 from tests.helpers import EDGES, ORIGIN, PARENTS, SETTINGS
 from thornjunction import interface as api
-from thornjunction.rules import Router
+from thornjunction.policy.router import Router
 
 ROUTERS, RATE, SECONDS, BURST = 200, 6.0, 18.0, (4.0, 9.5)  # requests a router and second; with the burst
 BEARS, FULL_MS, OVER, OVER_MS, STOPS_MS = 170.0, 1500.0, 2.5, 3000.0, 6000.0  # the origin, requests a second
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -9,7 +9,7 @@
 
 from tests.helpers import EDGES, ORIGIN, PARENTS, SETTINGS, Bench, edge, fetch_of, finals, only, parent
 from thornjunction import interface as api
-from thornjunction.rules import Router
+from thornjunction.policy.router import Router
 
 FILLED = api.Note.FILLED
 
@@ -75,7 +75,7 @@
 
 def test_ranks_follow_hits_and_the_cost_of_a_fill() -> None:
     def mean_rank(bench: Bench, w: float, key: int, **more: float) -> float:
-        bench.router.w = w
+        bench.router.ranking.w = w
         ranks = []
         for _ in range(30):
             fetch = fetch_of(bench.ask(key, **more))
@@ -102,7 +102,7 @@
             note, took = (FILLED, wait) if fetch.source != fetch.server else (api.Note.HIT, 50.0)
             bench.answer(fetch, note=note, took_ms=took, source_wait_ms=took, report=report)
             bench.wait(50.0)
-        return bench.router.w
+        return bench.router.ranking.w
 
     assert second(50.0) == 0.5
     strained = second(2500.0)
@@ -119,8 +119,8 @@
         bench.answer(fetch_of(bench.ask(key)))
     bench.wait(6000.0)
     router = bench.router
-    assert len(router.counts) <= 8192
-    assert len(router.by_cost.ordered) <= 512 and len(router.by_hits.ordered) <= 512
+    assert len(router.ranking.counts) <= 8192
+    assert len(router.ranking.by_cost.ordered) <= 512 and len(router.ranking.by_hits.ordered) <= 512
     assert not (router.jobs or router.flying or router.timers or router.held)
 
 
@@ -132,7 +132,7 @@
     bench.answer(fetch)
     bench.wait(6000.0)
     gc.collect()
-    assert "k" in bench.router.effects and job() is None
+    assert "k" in bench.router.effects.ran and job() is None
 
 
 def test_failing_caches_are_passed_over_and_tried_again() -> None:
@@ -275,12 +275,12 @@
         bench = Bench(entries=(EDGES[0], ORIGIN))
         for key in range(needed):
             bench.answer(fetch_of(bench.ask(key)), status)
-        server = bench.router.servers["edge0"]
+        server = bench.router.places.servers["edge0"]
         assert server.ejected_for > 0
         bench.ask(50)
         bench.answer((only(bench.wait(600.0), api.Fetch) or bench.sent[str(bench.asked)])[0])
         assert server.ejected_for == 0
-        assert (bench.router.budget(server) < 1e9) is cold
+        assert (bench.router.places.cold.rate(server.entry, server.bucket, bench.now) < 1e9) is cold
 
 
 @pytest.mark.parametrize("status", [api.Status.RESET, api.Status.ERROR])
@@ -313,7 +313,7 @@
     fetches = [fetch_of(bench.ask(key)) for key in range(12)]
     for fetch in fetches:
         assert only(bench.answer(fetch, api.Status.RESET), api.Fetch)
-    server = bench.router.servers["edge0"]
+    server = bench.router.places.servers["edge0"]
     assert server.ejected_for == 0 and server.bad == 1
 
 
@@ -325,7 +325,7 @@
             actions = bench.answer(fetch_of(actions), api.Status.ERROR)
         assert len({fetch.server for fetch in bench.sent[str(bench.asked)]}) == 2
         assert len(bench.sent[str(bench.asked)]) == 3
-    assert not any(server.bad or server.ejected_for for server in bench.router.servers.values())
+    assert not any(server.bad or server.ejected_for for server in bench.router.places.servers.values())
 
 
 def test_a_failing_origin_leaves_parents_to_give_what_they_hold() -> None:
@@ -377,8 +377,8 @@
     entries = (*EDGES, parent("near"), parent("far", zone="other"), ORIGIN)
     bench = Bench(entries=entries, notes=api.Notes.NONE, zone_hub={"here": "hub"})
     assert {fetch_of(bench.ask(key)).source for key in range(20)} == {"near"}
-    bench.router.servers["near"].first_byte.add(900.0)
-    bench.router.servers["far"].first_byte.add(100.0)
+    bench.router.places.servers["near"].first_byte.add(900.0)
+    bench.router.places.servers["far"].first_byte.add(100.0)
     assert {fetch_of(bench.ask(key)).source for key in range(20)} == {"far"}
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -96,11 +96,15 @@
 def test_who_leaves_or_fails_is_avoided() -> None:
     bench = Bench()
     names = [entry.server for entry in EDGES]
-    assert bench.router.avoided(names) == 0
+
+    def avoided(listed: list[str]) -> int:
+        return bench.router.places.avoided(listed, bench.now)
+
+    assert avoided(names) == 0
     bench.answer(fetch_of(bench.ask()), api.Status.REFUSED)
-    assert bench.router.avoided(names) == 1
+    assert avoided(names) == 1
     bench.give(api.Servers((api.ServerEntry(names[0], api.Role.EDGE, "here", api.State.DRAINING),), False))
-    assert bench.router.avoided(names) in (1, 2) and bench.router.avoided([names[0]]) == 1
+    assert avoided(names) in (1, 2) and avoided([names[0]]) == 1
 
 
 def test_what_a_front_answers_itself_is_counted() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -213,7 +213,7 @@
     bench = Bench()
     for key in range(6000):
         bench.give(api.Purged(group=1, age_ms=0.0, key=key))
-    assert len(bench.router.purges) < 6000
+    assert len(bench.router.purges.when) < 6000
     bench.wait(1000.0)
     assert 0 < fetch_of(bench.ask(0, group=1)).max_age_ms <= 1000.0
 
@@ -240,7 +240,7 @@
     entries = tuple(edge(f"edge{number}", started_ms=500.0) for number in range(3000))
     bench = Bench(entries=(*entries, ORIGIN))
     fetch = fetch_of(bench.ask(size_kb=25.0))
-    assert fetch.server in bench.router.servers and fetch.source == "origin"
+    assert fetch.server in bench.router.places.servers and fetch.source == "origin"
 
 
 @pytest.mark.parametrize("zone", ["here", "never heard of"])
@@ -277,7 +277,8 @@
         bench.wait(1000.0)
     cold = edge("edge3", started_ms=bench.now)
     bench.give(api.Servers((*EDGES[away:3], cold, *PARENTS, ORIGIN)))
-    return bench.router.budget(bench.router.servers["edge3"])
+    server = bench.router.places.servers["edge3"]
+    return bench.router.places.cold.rate(server.entry, server.bucket, bench.now)
 
 
 def test_a_cold_caches_budget_does_not_swell_with_what_is_lost_around_it() -> None:
--- a/tests/test_signed_front.py
+++ b/tests/test_signed_front.py
@@ -130,7 +130,7 @@
             self.assertIn(response.status, (401, 403))
             self.assertNotIn("retry-after", response.headers)
         self.assertEqual(len(self.rig.wants()), 1)
-        effects = self.rig.engine.router.effects
+        effects = self.rig.engine.router.effects.ran
         for key, (sent, entry) in list(effects.items()):
             effects[key] = (sent - 10_000.0, entry)  # the archive has forgotten the first try by now
         response = yield self.ask(target, "POST", **how)
--- a/thornjunction/adapter.py
+++ b/thornjunction/adapter.py
@@ -11,7 +11,7 @@
 from typing import Any, TextIO
 
 from thornjunction import interface as api
-from thornjunction.rules import Router
+from thornjunction.policy.router import Router
 from thornjunction.settings import Params, WireError, parse_json, read_report, read_roles, read_settings
 
 STATUSES = {
--- a/thornjunction/demo/rig.py
+++ b/thornjunction/demo/rig.py
@@ -25,7 +25,7 @@
 from thornjunction.net.transport import Building, Transport
 from thornjunction.net.wire.commands import Host
 from thornjunction.net.wire.resp import ArrayReader, encode_array
-from thornjunction.rules import Router
+from thornjunction.policy.router import Router
 from thornjunction.signing import tokens
 from thornjunction.signing.replay import ReplayWindow
 
--- a/thornjunction/estimates.py
+++ b/thornjunction/estimates.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+FAST_GAIN, SLOW_GAIN = 0.1, 0.01  # of a sample in means: the last ten, hundred
 COPIED = 0.05  # of requests that get a copy: the quantile
 STEP, LEAST = 0.02, 0.2  # of the aim
 
--- a/thornjunction/interface.py
+++ b/thornjunction/interface.py
@@ -1,9 +1,9 @@
 """What goes into a router and what comes out: settings, events and actions.
 
 Every time is in milliseconds, as a float, on the caller's own monotonic clock (any zero will do); every
-size is in KB.  A caller builds one ``Router(settings, seed)`` (``thornjunction.rules``) per life of a front,
-hands it each event together with the time at which it happened, and carries out the returned actions at
-that same time and in their order.  Routers hold no clock, do no I/O and share nothing.
+size is in KB.  A caller builds one ``Router(settings, seed)`` (``thornjunction.policy.router``) per life of a
+front, hands it each event together with the time at which it happened, and carries out the returned
+actions at that same time and in their order.  Routers hold no clock, do no I/O and share nothing.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/thornjunction/policy/placement.py
@@ -0,0 +1,104 @@
+"""Which server: an edge cache by a hash of the object, one of two hashed parents as source (DESIGN)."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+
+from thornjunction import interface as api
+from thornjunction.estimates import Mean, mix
+from thornjunction.limits.cold import ColdBudgets
+from thornjunction.policy.attempts import MARGIN, Job, Server
+
+ORDERS = 8192  # preferences kept at most
+CHOICES = 2  # caches by hash that a new request may go to: hot objects get a second copy (paper, section 3)
+FAR = 2.0  # a far parent's first byte, times, where it is not told
+
+
+class Placement:
+    """The list of servers, and who of them may take what."""
+
+    def __init__(self, settings: api.Settings, fetch: Mean, draw: Callable[[], float]) -> None:
+        self.settings, self.fetch, self.draw, self.cold = settings, fetch, draw, ColdBudgets()
+        self.servers: dict[str, Server] = {}
+        self.by_role: dict[api.Role, list[Server]] = {role: [] for role in api.Role}  # edges: of this zone
+        self.orders: dict[tuple[int, api.Role], list[Server]] = {}  # preferences, until the list changes
+
+    def take(self, event: api.Servers, now: float) -> None:
+        """A list, or its changes."""
+        named, zone = {entry.server for entry in event.entries}, self.settings.zone
+        if event.whole:
+            self.servers = {name: server for name, server in self.servers.items() if name in named}
+        for entry in event.entries:
+            server = self.servers.get(entry.server)
+            if entry.state is not api.State.SERVING:  # rule 3: at once, well within any grace
+                self.servers.pop(entry.server, None)
+            elif server is None or entry.started_ms != server.entry.started_ms:  # also a new process
+                self.servers[entry.server] = Server(entry, now)
+            else:
+                server.entry = entry
+        here = [s for s in self.servers.values() if s.entry.role is not api.Role.EDGE or s.entry.zone == zone]
+        self.by_role = {role: [s for s in here if s.entry.role is role] for role in api.Role}
+        self.orders.clear()
+        self.cold.most = {role: max(most, len(self.by_role[role])) for role, most in self.cold.most.items()}
+
+    def avoided(self, listed: Iterable[str], now: float) -> int:
+        """How many of these get nothing now: they leave, or are out after failures."""
+        return sum(s is None or not s.open_to(now) for s in map(self.servers.get, listed))
+
+    def preference(self, copy: int, servers: list[Server]) -> list[Server]:
+        """Rendezvous order, by weight where it is told: a server that leaves moves its own objects only."""
+        known = self.orders.get((copy, servers[0].entry.role)) if servers else []
+        if known is not None:
+            return known
+
+        def score(server: Server) -> float:
+            share = ((mix(copy ^ server.salt) >> 11) + 0.5) / (1 << 53)
+            return -(max(server.entry.weight, 1e-9) if self.settings.weighted else 1.0) / math.log(share)
+
+        if len(self.orders) >= ORDERS:
+            del self.orders[next(iter(self.orders))]
+        order = self.orders[copy, servers[0].entry.role] = sorted(servers, key=score, reverse=True)
+        return order
+
+    def first_byte(self, parent: Server) -> float:
+        """Smoothed; where answers do not tell it, hits blur it, and distance counts too."""
+        far = self.settings.zone_hub.get(self.settings.zone) != parent.entry.zone
+        far = far and self.settings.notes is api.Notes.NONE
+        return parent.first_byte.get(self.fetch.get(1.0)) * (FAR if far else 1.0)
+
+    def source(self, job: Job, now: float) -> Server | None:
+        """Of two parents the one with the lower first-byte time; where neither can, others or the origin."""
+        origins = self.by_role[api.Role.ORIGIN]
+        parents = self.preference(job.copy, [] if job.kind.passes else self.by_role[api.Role.PARENT])
+        ordered = sorted(parents[:2], key=self.first_byte) + parents[2:]
+        able = [s for s in ordered + origins if s.id not in job.tried and s.open_to(now)]
+        return next((s for s in able if self.within_budget(s, job.work, now)), next(iter(origins), None))
+
+    def cache(self, job: Job, now: float) -> Server | None:
+        """The first by hash, bar cold ones past their budget, ejected or tried ones (unless all are) and
+        those whose gate is shut.  Where both choices are shut, new ones are refused."""
+        order = self.preference(job.copy, self.by_role[api.Role.EDGE])
+        order = [s for s in order if self.may_resend(job, s, now) and self.within_budget(s, job.mean, now)]
+        able = [s for s in order if s.open_to(now)] or [s for s in order if not s.down]
+        able = [s for s in able if s.id not in job.tried] or able
+        free = [s for s in able[:CHOICES] if s.gate.lets(now, self.draw, job.weight)]
+        return next(iter(free or (able if job.attempts > 0 or job.kind.passes else [])), None)
+
+    def may_resend(self, job: Job, server: Server, now: float) -> bool:
+        """Rule 2: what may have run is resent only where and while its repeat is discarded."""
+        if job.maybe is None or job.kind.safety is api.Safety.SAFE:
+            return True
+        if job.kind.safety is api.Safety.UNSAFE or now >= job.maybe[0] + job.kind.memory_ms - MARGIN:
+            return False
+        here, there, group = job.maybe[1], server.entry, job.kind.group
+        near = here.zone == there.zone if group is api.Group.ZONE else here.cell == there.cell
+        return near or group is api.Group.ALL
+
+    def within_budget(self, server: Server, work: float, now: float, take: bool = False) -> bool:
+        return self.cold.within(server.entry, server.bucket, work, now, take)
+
+    def worth_waiting(self, job: Job, now: float) -> bool:
+        """All that may take it are down, or cold and past a budget that will grow."""
+        caches = [cache for cache in self.by_role[api.Role.EDGE] if self.may_resend(job, cache, now)]
+        return bool(caches) and not any(self.within_budget(s, job.mean, now) and not s.down for s in caches)
--- a/thornjunction/runtime/figures.py
+++ b/thornjunction/runtime/figures.py
@@ -7,7 +7,7 @@
 from thornjunction.core.counters import Counters
 from thornjunction.core.engine import Engine
 from thornjunction.net.shelves import ShelfPool
-from thornjunction.rules import Router
+from thornjunction.policy.router import Router
 
 ENDS = {"fulfilled": "served", "throttled": "refused", "faulted": "failed"}
 
@@ -25,7 +25,7 @@
         "relayed": pool.relayed,
         "open_requests": len(engine.requests),
         "registry_entries": len(pool.shelves),
-        "out_of_rotation": router.avoided(pool.shelves),
+        "out_of_rotation": router.places.avoided(pool.shelves, router.now),
         "cfg_accepted": files["accepted"],
         "cfg_invalid": files["invalid"],
     }
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -31,7 +31,7 @@
 from thornjunction.net.wire import platform
 from thornjunction.net.wire.commands import Command, Host, ListChange
 from thornjunction.net.wire.operators import encode_figures, encode_word
-from thornjunction.rules import Router
+from thornjunction.policy.router import Router
 from thornjunction.runtime import parts
 from thornjunction.runtime.config import Config, ConfigError, check_complete
 from thornjunction.runtime.drain import Drain
