--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv-ci
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build dev lint test tidy check run sim
+.PHONY: build dev lint test seeds tidy check run sim
 
 build:
 	$(BUILD)
@@ -24,7 +24,10 @@
 	@left="$$(git status --porcelain | grep -v '^[AMDR]  ' || true)"; \
 	if [ -n "$$left" ]; then echo "the tree is not clean:"; echo "$$left"; exit 1; fi
 
-check: lint test tidy
+seeds: dev  # membership and shares under drawn faults; see packages/fleet-sim
+	$(VENV)/bin/python -m fleet_sim --seeds 2000 --jobs 2
+
+check: lint test seeds tidy
 
 run: build
 	exec .venv/bin/python -m thornjunction
--- a/packages/fleet-membership/src/fleet_membership/settings.py
+++ b/packages/fleet-membership/src/fleet_membership/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from fleet_seam import Address
 from fleet_wire import to_place
@@ -24,7 +24,7 @@
     name: str
     address: Address
     fleet: str
-    secret: bytes
+    secret: bytes = field(repr=False)
     seeds: tuple[Address, ...]
     voters: tuple[str, ...]
     incarnation: int
