--- /dev/null
+++ b/tests/test_gates.py
@@ -0,0 +1,93 @@
+"""Gates before caches, fills and the origin: what shuts and opens them, and who gives way first."""
+
+from __future__ import annotations
+
+from tests.helpers import EDGES, ORIGIN, Bench, fetch_of, finals, only
+from thornjunction import interface as api
+
+FILLED = api.Note.FILLED
+
+
+def test_late_hits_shut_a_caches_gate_and_the_rest_is_refused() -> None:
+    """Overload: what cannot be served in time is refused at once, and writes go on."""
+    bench = Bench()
+    for key in range(400):
+        for fetch in only(bench.ask(key), api.Fetch):
+            bench.answer(fetch, took_ms=4000.0)
+    actions = [action for key in range(200) for action in bench.ask(key)]
+    out, refused = len(only(actions, api.Fetch)), len(only(actions, api.Refuse))
+    assert out + refused == 200 and refused > 100 and out >= 4
+    assert only(bench.ask(class_name="keyed"), api.Fetch)  # writes are small and worth most
+
+
+def test_gates_open_again_when_answers_come_in_time() -> None:
+    bench = Bench()
+    for took in (4000.0, 100.0):
+        for key in range(600):
+            for fetch in only(bench.ask(key), api.Fetch):
+                bench.answer(fetch, took_ms=took)
+    assert sum(len(only(bench.ask(key), api.Fetch)) for key in range(200)) == 200
+
+
+def test_late_fills_turn_requests_into_looks_and_shut_no_cache() -> None:
+    """A front of many cannot know what its neighbours had filled; the cache does, so it is asked."""
+    bench = Bench()
+    for key in range(200):
+        fetch = fetch_of(bench.ask(key))
+        if fetch.source == fetch.server:
+            bench.answer(fetch, api.Status.MISS)
+        else:
+            bench.answer(fetch, took_ms=4000.0, note=FILLED, source_wait_ms=3500.0)
+    fetches = [fetch_of(bench.ask(key)) for key in range(1000, 1200)]
+    looks = [fetch for fetch in fetches if fetch.source == fetch.server]
+    assert 150 < len(looks) < 200
+    assert not bench.answer(looks[0])
+    assert finals(bench.answer(looks[1], api.Status.MISS)) == [api.Refuse(looks[1].request)]
+
+
+def test_a_fill_counts_as_late_as_soon_as_its_aim_has_passed() -> None:
+    """A jam must not be learnt from the answers that it holds back."""
+    bench = Bench()
+    for key in range(40):
+        bench.ask(key)
+    bench.wait(1500.0)
+    looks = [fetch for key in range(1000, 1040) for fetch in only(bench.ask(key), api.Fetch)]
+    assert sum(fetch.source == fetch.server for fetch in looks) > 30
+
+
+def test_failed_fills_count_as_late() -> None:
+    """An origin that fails behind every parent is asked less, or it never recovers."""
+    bench = Bench()
+    for key in range(60):
+        for fetch in only(bench.ask(key), api.Fetch):
+            bench.answer(fetch, api.Status.BUSY, note=api.Note.ORIGIN_FAILED)
+    assert bench.router.fills.share < 0.2
+
+
+def test_a_failing_origin_leaves_parents_to_give_what_they_hold() -> None:
+    """Asked on, it stays jammed after its trouble has passed; what parents hold must not wait for that."""
+    bench = Bench()
+    for key in range(100):
+        for fetch in only(bench.ask(key), api.Fetch):
+            bench.answer(fetch, note=api.Note.FILLED_FROM_ORIGIN, took_ms=4000.0)
+            bench.router.fills.share = 1.0  # only the origin is slow
+    fetches = [fetch_of(bench.ask(key)) for key in range(1000, 1100)]
+    assert sum(fetch.held_only for fetch in fetches) > 80
+    assert not any(fetch.held_only for fetch in [fetch_of(bench.ask(7, "keyed")) for _ in range(20)])
+    missed = next(fetch for fetch in fetches if fetch.held_only)
+    actions = bench.answer(missed, api.Status.MISS, note=api.Note.SOURCE_LACKS)
+    assert finals(actions) == [api.Refuse(missed.request)]
+
+
+def test_large_requests_give_way_first_at_a_gate() -> None:
+    """Links carry bytes: one large fill less serves many small requests."""
+    bench = Bench(entries=(*EDGES, ORIGIN))
+    for key in range(60):
+        bench.answer(fetch_of(bench.ask(key, size_kb=1000.0 if key % 2 else 50.0)))
+    bench.router.fills.share = 0.5
+    filled = {50.0: 0, 1000.0: 0}
+    for key in range(1000, 1400):
+        size = 1000.0 if key % 2 else 50.0
+        fetch = fetch_of(bench.ask(key, size_kb=size))
+        filled[size] += fetch.source != fetch.server
+    assert filled[50.0] > 180 and filled[1000.0] < 100
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -199,62 +199,6 @@
     assert fetch_of(Bench().ask(left_ms=5000.0)).timeout_ms > 4900.0
 
 
-def test_late_hits_shut_a_caches_gate_and_the_rest_is_refused() -> None:
-    """Overload: what cannot be served in time is refused at once, and writes go on."""
-    bench = Bench()
-    for key in range(400):
-        for fetch in only(bench.ask(key), api.Fetch):
-            bench.answer(fetch, took_ms=4000.0)
-    actions = [action for key in range(200) for action in bench.ask(key)]
-    out, refused = len(only(actions, api.Fetch)), len(only(actions, api.Refuse))
-    assert out + refused == 200 and refused > 100 and out >= 4
-    assert only(bench.ask(class_name="keyed"), api.Fetch)  # writes are small and worth most
-
-
-def test_gates_open_again_when_answers_come_in_time() -> None:
-    bench = Bench()
-    for took in (4000.0, 100.0):
-        for key in range(600):
-            for fetch in only(bench.ask(key), api.Fetch):
-                bench.answer(fetch, took_ms=took)
-    assert sum(len(only(bench.ask(key), api.Fetch)) for key in range(200)) == 200
-
-
-def test_late_fills_turn_requests_into_looks_and_shut_no_cache() -> None:
-    """A front of many cannot know what its neighbours had filled; the cache does, so it is asked."""
-    bench = Bench()
-    for key in range(200):
-        fetch = fetch_of(bench.ask(key))
-        if fetch.source == fetch.server:
-            bench.answer(fetch, api.Status.MISS)
-        else:
-            bench.answer(fetch, took_ms=4000.0, note=FILLED, source_wait_ms=3500.0)
-    fetches = [fetch_of(bench.ask(key)) for key in range(1000, 1200)]
-    looks = [fetch for fetch in fetches if fetch.source == fetch.server]
-    assert 150 < len(looks) < 200
-    assert not bench.answer(looks[0])
-    assert finals(bench.answer(looks[1], api.Status.MISS)) == [api.Refuse(looks[1].request)]
-
-
-def test_a_fill_counts_as_late_as_soon_as_its_aim_has_passed() -> None:
-    """A jam must not be learnt from the answers that it holds back."""
-    bench = Bench()
-    for key in range(40):
-        bench.ask(key)
-    bench.wait(1500.0)
-    looks = [fetch for key in range(1000, 1040) for fetch in only(bench.ask(key), api.Fetch)]
-    assert sum(fetch.source == fetch.server for fetch in looks) > 30
-
-
-def test_failed_fills_count_as_late() -> None:
-    """An origin that fails behind every parent is asked less, or it never recovers."""
-    bench = Bench()
-    for key in range(60):
-        for fetch in only(bench.ask(key), api.Fetch):
-            bench.answer(fetch, api.Status.BUSY, note=api.Note.ORIGIN_FAILED)
-    assert bench.router.fills.share < 0.2
-
-
 def test_held_requests_are_not_all_tried_at_every_look() -> None:
     entries = (edge("cold", started_ms=1000.0), ORIGIN)
     bench = Bench(entries=entries, cold_share=0.001)
@@ -328,21 +272,6 @@
     assert not any(server.bad or server.ejected_for for server in bench.router.places.servers.values())
 
 
-def test_a_failing_origin_leaves_parents_to_give_what_they_hold() -> None:
-    """Asked on, it stays jammed after its trouble has passed; what parents hold must not wait for that."""
-    bench = Bench()
-    for key in range(100):
-        for fetch in only(bench.ask(key), api.Fetch):
-            bench.answer(fetch, note=api.Note.FILLED_FROM_ORIGIN, took_ms=4000.0)
-            bench.router.fills.share = 1.0  # only the origin is slow
-    fetches = [fetch_of(bench.ask(key)) for key in range(1000, 1100)]
-    assert sum(fetch.held_only for fetch in fetches) > 80
-    assert not any(fetch.held_only for fetch in [fetch_of(bench.ask(7, "keyed")) for _ in range(20)])
-    missed = next(fetch for fetch in fetches if fetch.held_only)
-    actions = bench.answer(missed, api.Status.MISS, note=api.Note.SOURCE_LACKS)
-    assert finals(actions) == [api.Refuse(missed.request)]
-
-
 def test_where_all_caches_are_down_requests_wait_for_a_trial() -> None:
     """Hundreds of fronts that try on push a cache over in the first second of its life."""
     bench = Bench(entries=(EDGES[0], EDGES[1], ORIGIN))
@@ -358,20 +287,6 @@
     assert len(only(served, api.Fetch)) < 20  # within a cold cache's budget
 
 
-def test_large_requests_give_way_first_at_a_gate() -> None:
-    """Links carry bytes: one large fill less serves many small requests."""
-    bench = Bench(entries=(*EDGES, ORIGIN))
-    for key in range(60):
-        bench.answer(fetch_of(bench.ask(key, size_kb=1000.0 if key % 2 else 50.0)))
-    bench.router.fills.share = 0.5
-    filled = {50.0: 0, 1000.0: 0}
-    for key in range(1000, 1400):
-        size = 1000.0 if key % 2 else 50.0
-        fetch = fetch_of(bench.ask(key, size_kb=size))
-        filled[size] += fetch.source != fetch.server
-    assert filled[50.0] > 180 and filled[1000.0] < 100
-
-
 def test_where_nothing_is_told_the_parent_in_the_own_hub_comes_first() -> None:
     """Hits blur first-byte times there; a far parent costs more of the links. A slow one still loses."""
     entries = (*EDGES, parent("near"), parent("far", zone="other"), ORIGIN)
@@ -390,58 +305,3 @@
     order = list(bench.router.held)
     bench.wait(50.0)
     assert list(bench.router.held) == order[10:] + order[:10]  # ten were tried and queue again
-
-
-def slow_one(bench: Bench) -> api.Fetch:
-    """One attempt that has waited longer than most of its class, while its cache answers others."""
-    for key in range(300):
-        bench.wait(5.0)
-        bench.answer(fetch_of(bench.ask(key)))
-    slow = fetch_of(bench.ask(5))
-    bench.wait(50.0)
-    bench.answer(fetch_of(bench.ask(5)))
-    return slow
-
-
-def test_an_answer_that_is_lost_gets_a_copy_sent_beside_it() -> None:
-    bench = Bench(may_copy=True)
-    slow = slow_one(bench)
-    copies = [fetch for fetch in only(bench.wait(700.0), api.Fetch) if fetch.request == slow.request]
-    assert [copy.server for copy in copies] == [slow.server]  # which still holds what it sent
-    actions = bench.answer(copies[0])
-    assert api.Cancel(slow.request, 0) in actions and not bench.router.jobs
-    assert not bench.answer(slow, api.Status.CANCELLED)
-
-
-def test_a_cache_that_answers_nobody_gets_no_copies() -> None:
-    bench = Bench(may_copy=True)
-    bench.answer(slow_one(bench))
-    bench.wait(100.0)
-    silent = fetch_of(bench.ask(5))
-    assert not only(bench.wait(800.0), api.Fetch) and len(bench.sent[silent.request]) == 1
-
-
-def test_the_end_of_one_of_two_leaves_the_request_to_the_other() -> None:
-    bench = Bench(may_copy=True)
-    slow = slow_one(bench)
-    (copy,) = [fetch for fetch in only(bench.wait(700.0), api.Fetch) if fetch.request == slow.request]
-    assert not bench.answer(copy, api.Status.BUSY)
-    fetch_of(bench.answer(slow, api.Status.RESET))
-
-
-@pytest.mark.parametrize("class_name", ["keyed", "order"])
-def test_what_must_not_run_twice_gets_no_copy(class_name: str) -> None:
-    bench = Bench(may_copy=True)
-    slow_one(bench)
-    bench.ask(class_name=class_name)
-    bench.wait(2000.0)
-    assert len(bench.sent[str(bench.asked)]) == 1
-
-
-def test_copies_that_lose_to_the_first_answer_become_few() -> None:
-    bench = Bench(may_copy=True)
-    for _ in range(20):
-        slow = slow_one(bench)
-        bench.wait(700.0)
-        bench.answer(slow)
-    assert bench.router.copies.share < 0.5
