Share a cold server's budget as a chance, so that parts of a request neither add up nor starve

Cause: limits/cold.py let a router send to a cold server only what lay within 0.8 of its own share of the window (`LARGEST`) and saved up to 0.2 of it (`BURST`). A plain bucket that rounds the part up breaks the sum instead: 96 in a window where 76 are allowed.

Change: each router has a window of its own phase, as long as the settings' `fallMs`; its share of the budget in it is spent whole requests first, and the part that is left is a chance of one more, drawn once a window. Half of the budget a window, so that two windows that meet in one of the server's own stay within it.

--- a/thornjunction/limits/cold.py
+++ b/thornjunction/limits/cold.py
@@ -4,30 +4,50 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from thornjunction import interface as api
 from thornjunction.estimates import FAST_GAIN, Mean
 
-PACE, BURST, LARGEST = 0.5, 0.2, 0.8  # of a cold server's budget: rate; saved up; one request at most
+PACE = 0.5  # of a cold server's budget in each window: two windows that meet in one of its own stay within it
 MISS_SHARE = 0.25  # of work, the parents', where weights are not told
 
 
 class Bucket:
-    """What this router may still send to one server; ``cold_since``: when it started, -inf if long ago."""
+    """What this router has sent to one server in its present window; ``cold_since``: when the server started,
+    -inf if long ago."""
 
-    def __init__(self, started_ms: float, now: float) -> None:
+    def __init__(self, started_ms: float) -> None:
         self.cold_since = started_ms if started_ms > 0 else -math.inf
-        self.tokens, self.at = math.inf, now
+        self.until, self.part, self.spent, self.chance = math.nan, 1.0, 0.0, 1.0
 
     def restart(self, now: float) -> None:
         """It was away: perhaps a new, cold process that is not listed yet."""
-        self.cold_since, self.tokens = now, 0.0
+        self.cold_since, self.until = now, math.nan
+
+    def turn(self, now: float, window_ms: float, draw: Callable[[], float]) -> None:
+        """Begin the window that ``now`` lies in.  The first ends at a moment of its own and counts in part:
+        hundreds of routers hear of a start together, and must not all begin anew together."""
+        if math.isnan(self.until):
+            self.part = 1.0 - draw()
+            self.until = now + window_ms * self.part
+        elif now >= self.until:
+            self.part = 1.0
+            self.until += window_ms * (math.floor((now - self.until) / window_ms) + 1)
+        else:
+            return
+        self.spent, self.chance = 0.0, 1.0 - draw()
 
 
 class ColdBudgets:
-    """Each router's share of each cold server, by the settings' numbers."""
+    """Each router's share of each cold server, by the settings' numbers.
+
+    Of a fleet of two hundred, each has a part of one request in a window.  What is no whole request is a
+    chance of one, to the window's end.  Rounded up, or saved until it is one, two hundred parts would be two
+    hundred requests at the moment when all are asked."""
 
-    def __init__(self) -> None:
+    def __init__(self, draw: Callable[[], float]) -> None:
+        self.draw = draw
         self.load = Mean(FAST_GAIN)  # ms of sending time asked of this router, a ms
         self.most = dict.fromkeys(api.Role, 1)  # ever listed: who bears the load where none is away
 
@@ -36,7 +56,7 @@
         edge = (s.cold_share, s.cold_ms, s.fall_multiple, s.zone_fronts.get(s.zone, s.instances), 1.0)
         parent = (s.parent_cold_share, s.parent_cold_ms, s.parent_fall_multiple, s.instances, MISS_SHARE)
         self.terms = {api.Role.EDGE: edge, api.Role.PARENT: parent, api.Role.ORIGIN: (1.0, 0.0, 0.0, 1, 0.0)}
-        self.weighted, self.fall_ms = s.weighted, s.fall_ms
+        self.weighted, self.fall_ms = s.weighted, max(s.fall_ms, 1.0)
 
     def rate(self, entry: api.ServerEntry, bucket: Bucket, now: float) -> float:
         """Sending time a ms that this front may ask of a cold server; infinite once it is warm."""
@@ -52,11 +72,11 @@
     def within(
         self, entry: api.ServerEntry, bucket: Bucket, work: float, now: float, take: bool = False
     ) -> bool:
-        """A bucket that fills at the budget; the budget binds in any window, so bursts are kept short."""
+        """Whether one more fits this window's share; ``take``: it is sent."""
         rate = math.inf if bucket.cold_since == -math.inf else self.rate(entry, bucket, now)
         if rate == math.inf:
             return True
-        depth = BURST * rate * self.fall_ms
-        tokens = min(depth, bucket.tokens + rate * (now - bucket.at)) - work * take
-        bucket.tokens, bucket.at = tokens, now
-        return bucket.tokens >= min(work, depth) and work <= LARGEST * rate * self.fall_ms
+        bucket.turn(now, self.fall_ms, self.draw)
+        fits = bucket.spent + bucket.chance * work <= rate * self.fall_ms * bucket.part
+        bucket.spent += work * take
+        return fits
--- a/thornjunction/policy/attempts.py
+++ b/thornjunction/policy/attempts.py
@@ -26,7 +26,7 @@
         self.out: dict[tuple[str, int], Attempt] = {}
         self.entry, self.heard, self.ejected_for, self.down = entry, now, 0.0, False
         self.bad, self.first_byte, self.gate = 0, Mean(FAST_GAIN), Gate()
-        self.bucket, self.ejected_until = Bucket(entry.started_ms, now), -math.inf
+        self.bucket, self.ejected_until = Bucket(entry.started_ms), -math.inf
         self.reset_at = -math.inf
 
     def eject(self, now: float) -> None:
--- a/thornjunction/policy/placement.py
+++ b/thornjunction/policy/placement.py
@@ -19,7 +19,7 @@
     """The list of servers, and who of them may take what."""
 
     def __init__(self, settings: api.Settings, fetch: Mean, draw: Callable[[], float]) -> None:
-        self.settings, self.fetch, self.draw, self.cold = settings, fetch, draw, ColdBudgets()
+        self.settings, self.fetch, self.draw, self.cold = settings, fetch, draw, ColdBudgets(draw)
         self.servers: dict[str, Server] = {}
         self.by_role: dict[api.Role, list[Server]] = {role: [] for role in api.Role}  # edges: of this zone
         self.orders: dict[tuple[int, api.Role], list[Server]] = {}  # preferences, until the list changes
