Bound how long an attempt may wait for its connection by what it was decided by

Cause: an attempt decided while a connection is dialled is written when that comes up, by up to `dialTimeoutMs` later. A drain or purge told meanwhile may bind sooner than that (300 ms for purges where the dial may take 400), and a keyed repeat decided in the last moments of its window began after it. A client's two tries of one key knew of each other only at their start (policy/router.py `on_request`): the first, refused and waiting, followed after the second's window had ended.

Change: `Fetch.start_ms`, from the drain's and the purge's grace and the repeat window (limits/effects.py); the key's first run is looked up at each dispatch.

Tests: both fail on the code before.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -90,6 +90,28 @@
     assert finals(bench.answer(second, api.Status.ERROR)) == [api.Fail("1")]
 
 
+def test_an_attempt_has_to_begin_before_what_it_was_decided_by_may_not_hold() -> None:
+    """Its connection may come up late: after a drain or a purge binds, or after its repeat window."""
+    bench = Bench(drain_grace_ms=400.0, purge_grace_ms=300.0)
+    assert fetch_of(bench.ask()).start_ms == 300.0
+    first = fetch_of(bench.ask(class_name="keyed"))
+    assert first.start_ms == 300.0
+    bench.now += 1900.0
+    assert 0 < fetch_of(bench.answer(first, api.Status.ERROR)).start_ms < 100.0
+    assert (
+        fetch_of(Bench(drain_grace_ms=200.0, purge_takes_ms=0.0, purge_grace_ms=0.0).ask()).start_ms == 200.0
+    )
+
+
+def test_two_tries_of_one_key_share_one_window() -> None:
+    """The first try was refused and waited; meanwhile the second ran: it has to follow in that window."""
+    bench = Bench()
+    bench.answer(fetch_of(bench.ask(class_name="keyed", idempotency_key="k")), api.Status.BUSY)
+    assert fetch_of(bench.ask(class_name="keyed", idempotency_key="k"))
+    assert only(bench.wait(1999.0), api.Fetch)
+    assert finals(bench.answer(bench.sent["1"][-1], api.Status.SKIPPED)) == [api.Fail("1")]
+
+
 @pytest.mark.parametrize("group", [api.Group.CELL, api.Group.ZONE])
 def test_keyed_stays_in_its_group(group: api.Group) -> None:
     entries = tuple(edge(f"edge{number}", cell=number % 2) for number in range(4))
--- a/thornjunction/interface.py
+++ b/thornjunction/interface.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
@@ -258,6 +259,7 @@
     join: bool = False  # wait for a fill that is under way
     renew: bool = False  # serve an ageing copy and fetch it anew behind
     held_only: bool = False  # the source gives only what it holds
+    start_ms: float = math.inf  # not begun by then, it ends as skipped: what it was decided by may not hold
 
 
 @dataclass(frozen=True, slots=True)
--- a/thornjunction/limits/effects.py
+++ b/thornjunction/limits/effects.py
@@ -2,12 +2,30 @@
 
 from __future__ import annotations
 
+import math
+
 from thornjunction import interface as api
 
 EFFECTS, EFFECT_KEPT = 8192, 600_000.0  # keys of requests that may have run; ms for which they are known
 
 Ran = tuple[float, api.ServerEntry]  # when and where; all that is kept by key: a job takes 1 KB
 
+LEAST_START = 25.0  # ms for a connection at least; each limit has 50 ms of slack on sockets
+
+
+def window_left(kind: api.RequestClass, ran: Ran | None, now: float) -> float:
+    """For how long a repeat is still discarded by those who may have run it."""
+    if ran is None or kind.safety is api.Safety.SAFE:
+        return math.inf
+    return ran[0] + kind.memory_ms - now if kind.safety is api.Safety.KEYED else -math.inf
+
+
+def start_ms(settings: api.Settings, left_ms: float) -> float:
+    """How long an attempt may wait for its connection.  It was decided before what may be told meanwhile, a
+    drain or a purge; so it has to begin before that binds.  A repeat has its window: ``left_ms``."""
+    purge_ms = settings.purge_grace_ms if settings.purge_takes_ms else math.inf
+    return min(max(min(settings.drain_grace_ms, purge_ms), LEAST_START), left_ms)
+
 
 class Effects:
     """By idempotency key: the first attempt that may have run."""
--- a/thornjunction/policy/placement.py
+++ b/thornjunction/policy/placement.py
@@ -8,6 +8,7 @@
 from thornjunction import interface as api
 from thornjunction.estimates import Mean, mix
 from thornjunction.limits.cold import ColdBudgets
+from thornjunction.limits.effects import window_left
 from thornjunction.policy.attempts import MARGIN, Job, Server
 
 ORDERS = 8192  # preferences kept at most
@@ -89,7 +90,7 @@
         """Rule 2: what may have run is resent only where and while its repeat is discarded."""
         if job.maybe is None or job.kind.safety is api.Safety.SAFE:
             return True
-        if job.kind.safety is api.Safety.UNSAFE or now >= job.maybe[0] + job.kind.memory_ms - MARGIN:
+        if window_left(job.kind, job.maybe, now) <= MARGIN:
             return False
         here, there, group = job.maybe[1], server.entry, job.kind.group
         near = here.zone == there.zone if group is api.Group.ZONE else here.cell == there.cell
--- a/thornjunction/policy/router.py
+++ b/thornjunction/policy/router.py
@@ -11,11 +11,11 @@
 
 from thornjunction import interface as api
 from thornjunction.estimates import SLOW_GAIN, Mean, Usual
-from thornjunction.limits.effects import Effects
+from thornjunction.limits.effects import Effects, start_ms, window_left
 from thornjunction.limits.gates import Gate
 from thornjunction.limits.purges import Purges
 from thornjunction.limits.retries import Retries, wait_ms
-from thornjunction.policy.attempts import Attempt, Job, Server
+from thornjunction.policy.attempts import MARGIN, Attempt, Job, Server
 from thornjunction.policy.placement import Placement
 from thornjunction.policy.ranking import KNOWN, Ranking
 
@@ -98,7 +98,6 @@
         job = self.jobs[event.request] = Job(event, kind, size / self.flow, mean, self.now)
         job.weight, self.asked = job.mean / self.size.get(job.mean), self.asked + job.mean
         job.usual, job.most = self.usual[kind.name], self.settings.max_attempts
-        job.maybe = self.effects.ran.get(job.effect)
         self.retries.earn()
         job.miss = self.ranking.count(job.copy, self.now) < KNOWN and not kind.passes
         self.next_token += 1
@@ -162,6 +161,7 @@
 
     def dispatch(self, job: Job) -> None:
         """Send the next attempt, or hold the request, or end it."""
+        job.maybe = job.maybe or self.effects.ran.get(job.effect)  # another try of its client may have run
         spent = job.attempts >= job.most or (job.attempts > 0 and not self.retries.any())
         spent = spent or not self.effects.may_note(job.effect, self.now)
         if self.now >= job.deadline or spent:
@@ -211,9 +211,9 @@
         rank = 0 if passes else self.ranking.rank(job.copy, job.work, self.now)
         age = self.purges.max_age(job.event, job.kind.fresh_ms, self.now)
         join, renew = self.settings.may_join and not passes, job.kind.fresh_ms > 0
-        self.actions.append(
-            api.Fetch(job.id, server.id, left, (source or server).id, rank, age, join, renew, held_only)
-        )
+        start = start_ms(self.settings, window_left(job.kind, job.maybe, self.now) - MARGIN)
+        how = rank, age, join, renew, held_only, start
+        self.actions.append(api.Fetch(job.id, server.id, left, (source or server).id, *how))
 
     def watch(self, server: Server) -> None:
         """Hung or cut off: attempts out and no answer at all.  Take it out and call them back.
