Let large requests of a class give way at a gate by a fifth at most, instead of not at all

Bytes are what links carry, so a bounded preference earns its keep.

Change: within a class the chance lies between 0.8 of its class's and 1/0.8 of it, so that the largest get over two thirds of the class's answered share whatever a gate's share is.

--- a/thornjunction/policy/attempts.py
+++ b/thornjunction/policy/attempts.py
@@ -78,7 +78,7 @@
 class Job:  # a request that is owed an answer
     def __init__(self, event: api.Request, kind: api.RequestClass, work: float, mean: float, now: float):
         self.id, self.event, self.kind = event.request, event, kind
-        self.work, self.mean, self.weight = work, mean, 1.0  # ms to send: own, class mean; this over all
+        self.work, self.mean, self.weights = work, mean, [1.0, 1.0]  # ms to send: own, class mean; over all's
         self.aim = kind.aim_ms + kind.aim_stretch * work
         self.effect = event.idempotency_key if kind.safety is api.Safety.KEYED else ""
         self.copy = mix(mix(event.key) ^ event.part)  # each part is kept as a copy of its own
--- a/thornjunction/policy/placement.py
+++ b/thornjunction/policy/placement.py
@@ -83,7 +83,7 @@
         order = [s for s in order if self.may_resend(job, s, now) and self.within_budget(s, job.mean, now)]
         able = [s for s in order if s.open_to(now)] or [s for s in order if not s.down]
         able = [s for s in able if s.id not in job.tried] or able
-        free = [s for s in able[:CHOICES] if s.gate.lets(now, self.draw, job.weight)]
+        free = [s for s in able[:CHOICES] if s.gate.lets(now, self.draw, *job.weights)]
         return next(iter(free or (able if job.attempts > 0 or job.kind.passes else [])), None)
 
     def may_resend(self, job: Job, server: Server, now: float) -> bool:
--- a/thornjunction/policy/router.py
+++ b/thornjunction/policy/router.py
@@ -96,7 +96,7 @@
         self.size.add(size / self.flow)
         mean = self.sizes[kind.name].get(size) / self.flow
         job = self.jobs[event.request] = Job(event, kind, size / self.flow, mean, self.now)
-        job.weight, self.asked = job.mean / self.size.get(job.mean), self.asked + job.mean
+        job.weights, self.asked = [w / self.size.get(w) for w in (job.work, mean)], self.asked + mean
         job.usual, job.most = self.usual[kind.name], self.settings.max_attempts
         self.retries.earn()
         job.miss = self.ranking.count(job.copy, self.now) < KNOWN and not kind.passes
@@ -197,7 +197,7 @@
         # Beyond the fills' gate a cache gives only what it holds, beyond the origin's a parent: they know
         # what one of many fronts cannot.  Misses are refused.  Harm: where the cause has just passed.
         held_only = not passes and not self.behind.lets(self.now, self.random.random)
-        source = source if passes or self.fills.lets(self.now, self.random.random, job.weight) else None
+        source = source if passes or self.fills.lets(self.now, self.random.random, *job.weights) else None
         key, ran = (job.id, job.attempts), (self.now, server.entry)
         attempt = Attempt(server, source, self.now, job, key[1], ran, held_only=held_only)
         self.flying[key] = server.out[key] = attempt
