Name the key of every impossible setting; a list of wrong things no longer slips through

Cause: settings.py read the lists under `specifics` unchecked. A string or null in classFreshMs raised ValueError without the key; hubByZone past the zones raised IndexError, which config.py did not catch (a traceback at start, an exception in the reactor at SIGHUP), and -1 quietly meant the last zone; passOn of 0 and 1, zones and machineTypes of other things than strings, and limits.sockets of 0 were taken; an integer past a float raised OverflowError without the key; a keyed class with no memorySpanMs was read as one of 0 ms.

Change: Params.numbers and Params.listed check each value of a list and name the key; numbers are bounded; keyed classes must tell memorySpanMs; limits.sockets has to be 3 at least.

The rows new in tests/test_reload.py fail before, but for the one of classes, which guards what held.

--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -79,6 +79,16 @@
         ("settings__allowed__attemptsCap", 0, "attemptsCap"),
         ("settings__allowed__attemptsCap", True, "attemptsCap"),
         ("settings__classes__0__name", "writes", "classes"),
+        ("settings__classes__0__giveUpMs", 10**400, "giveUpMs"),
+        ("settings__classes__0__idempotency", "keyed", "memorySpanMs"),
+        ("settings__classes", [7], "classes"),
+        ("settings__zones", ["hub", 3], "zones"),
+        ("settings__machineTypes", ["box", None], "machineTypes"),
+        ("settings__specifics__classFreshMs", ["soon", None], "classFreshMs"),
+        ("settings__specifics__passOn", [0, 1], "passOn"),
+        ("settings__specifics__hubByZone", [0, 2], "hubByZone"),
+        ("settings__specifics__pipeKbPerS", [0.0, [1]], "pipeKbPerS"),
+        ("limits__sockets", 0, "sockets"),
     ],
 )
 def test_a_broken_file_is_named_and_nothing_is_taken_from_it(path: str, value: Any, named: str) -> None:
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -14,6 +14,7 @@
 from thornjunction.net.wire.commands import Commands, parse_address, read_commands
 from thornjunction.settings import Params, WireError, parse_json, read_roles, read_settings
 
+LEAST_SOCKETS = 3  # a third for clients, one for shelfs, one for the channel and the program's own
 BUFFER_SHARE = 0.2  # of the memory; half of the least that the platform gives is the program itself
 
 
@@ -60,13 +61,15 @@
     """The configuration from its JSON text; name and address may come from the environment."""
     try:
         return _read(Params(parse_json(text)), environ)
-    except WireError as error:
+    except (WireError, RecursionError) as error:
         raise ConfigError(str(error)) from error
 
 
 def _read(top: Params, environ: Mapping[str, str]) -> Config:
     limits, params = top.below("limits"), top.below("settings")
     sockets = int(limits.number("sockets", 1024))
+    if sockets < LEAST_SOCKETS:
+        raise ConfigError(f"limits.sockets: {sockets} is too few, {LEAST_SOCKETS} at least")
     settings = _settings(params)
     allowed = params.below("allowed")
     door = environ.get("PROXY_ADMIN_ADDR") or top.get("admin_addr", str, "")
--- a/thornjunction/settings.py
+++ b/thornjunction/settings.py
@@ -9,6 +9,8 @@
 
 from thornjunction import interface as api
 
+MOST = 1e15  # of any number here: past it a float no longer holds all milliseconds
+
 
 class WireError(Exception):
     """A line or a setting that cannot be understood; the text names it."""
@@ -33,11 +35,25 @@
 
     def number(self, name: str, default: float | None = None) -> float:
         """A number that is not negative."""
-        found = self.get(name, (int, float), default)
-        if not 0 <= found < float("inf"):
-            raise WireError(f"setting {self.path + name!r} has an impossible value {found!r}")
+        return self._checked(name, self.get(name, (int, float), default))
+
+    def _checked(self, name: str, found: Any) -> float:
+        number = isinstance(found, int | float) and not isinstance(found, bool)
+        if not number or not 0 <= found <= MOST:
+            raise WireError(f"setting {self.path + name!r} has an impossible value {str(found)[:80]!r}")
         return float(found)
 
+    def numbers(self, name: str) -> list[float]:
+        """A list of numbers that are not negative; empty where it is not told."""
+        return [self._checked(name, found) for found in self.get(name, list, [])]
+
+    def listed(self, name: str, kind: type, least: int = 0) -> list[Any]:
+        """A list of values of one kind, so many at least; empty where it is not told and need not be."""
+        found: list[Any] = self.get(name, list, None if least else [])
+        if len(found) < least or not all(isinstance(value, kind) for value in found):
+            raise WireError(f"setting {self.path + name!r} has an impossible value {str(found)[:80]!r}")
+        return found
+
     def positive(self, name: str) -> float:
         """A number above zero."""
         found = self.number(name)
@@ -61,23 +77,20 @@
 def read_class(data: Any, place: int, special: Params) -> api.RequestClass:
     """One class of requests."""
     params = Params(data, f"classes[{place}].")
-
-    def by_class(name: str, default: Any) -> Any:
-        listed = special.get(name, list, [])
-        return listed[place] if place < len(listed) else default
-
+    safety = params.choice("idempotency", api.Safety)
+    fresh_ms, passes = special.numbers("classFreshMs"), special.listed("passOn", bool)
     return api.RequestClass(
         name=params.get("name", str),
         aim_ms=params.number("aimMs"),
         give_up_ms=params.positive("giveUpMs"),
-        safety=params.choice("idempotency", api.Safety),
+        safety=safety,
         aim_stretch=params.number("aimStretch", 0.0),
         late_worth=params.number("lateWorth", 0.0),
         worth=params.number("worth", 1.0),
         group=params.choice("group", api.Group, "all"),
-        memory_ms=params.number("memorySpanMs", 0.0),
-        fresh_ms=float(by_class("classFreshMs", 0.0)),
-        passes=bool(by_class("passOn", False)),
+        memory_ms=params.number("memorySpanMs", None if safety is api.Safety.KEYED else 0.0),
+        fresh_ms=fresh_ms[place] if place < len(fresh_ms) else 0.0,
+        passes=place < len(passes) and passes[place],
     )
 
 
@@ -92,11 +105,15 @@
 def read_settings(params: Params) -> api.Settings:
     """The router's settings from the platform's."""
     allowed, safety, special = params.below("allowed"), params.below("safety"), params.below("specifics")
-    zones: list[str] = params.get("zones", list)
-    classes = params.get("classes", list)
+    zones: list[str] = params.listed("zones", str, least=1)
+    classes = params.listed("classes", Mapping, least=1)
+
+    def by_zone(name: str) -> dict[str, float]:
+        return dict(zip(zones, special.numbers(name), strict=False))
 
-    def by_zone(name: str) -> dict[str, Any]:
-        return dict(zip(zones, special.get(name, list, []), strict=False))
+    hubs = {zone: int(hub) for zone, hub in by_zone("hubByZone").items()}
+    if any(hub >= len(zones) for hub in hubs.values()):
+        raise WireError(f"setting {special.path + 'hubByZone'!r} names a place outside zones")
 
     return api.Settings(
         classes=tuple(read_class(data, place, special) for place, data in enumerate(classes)),
@@ -126,7 +143,7 @@
         max_wait_advice_ms=allowed.number("maxRetryAfterMs", 0.0),
         siblings=special.choice("siblings", api.Siblings, "none"),
         notes=special.choice("says", api.Notes, "none"),
-        zone_hub={zone: zones[hub] for zone, hub in by_zone("hubByZone").items()},
+        zone_hub={zone: zones[hub] for zone, hub in hubs.items()},
         zone_link_kb_per_ms={
             zone: kb_per_s / 1000.0 for zone, kb_per_s in by_zone("pipeKbPerS").items() if kb_per_s > 0
         },
@@ -135,7 +152,7 @@
 
 def read_roles(params: Params) -> dict[str, api.Role]:
     """The kinds of machine that are not edge caches."""
-    special, kinds = params.below("specifics"), params.get("machineTypes", list)
+    special, kinds = params.below("specifics"), params.listed("machineTypes", str, least=1)
     roles: dict[str, api.Role] = {}
     for name, role in (("secondTierKind", api.Role.PARENT), ("rootKind", api.Role.ORIGIN)):
         place = special.get(name, int, -1)
