Notice a silent watch in 2 s; take what can be read of bad answers; spare dials and log

Cause, in net/channel.py: BLOCK_MS 2000 + SILENT_MS 1500 let a silent watch pass for 3.5 s, and the first poll after it asked for the long block again: two silences took 7 s, when all counts as told. The timer closed a link whose answer lay unread after a pause of the process. A failed dial came again each 50 ms, each with a log line. A poll answered early with nothing was repeated at once. Bytes behind an answer passed for the answer to the next poll. The cursor followed the answer's own number past events that had not come, and events in wrong order were passed over. An exception in `take` broke the connection. In net/wire/commands.py one malformed event made the answer unreadable, again at each reconnection: nothing behind it was ever heard; "inf" and such passed as weights.

Change: block 1,200 ms and 800 ms of patience, doubled with each silence up to 5 s, reset by an answer; a short poll after a failure; a late loop reads, and gets its lateness back, before it judges. Waits between dials grow 50 to 400 ms with jitter; of failures in a row the 1st, 2nd, 4th and so on, later each 256th, are logged. Early empty answers are paced the same way. Unasked bytes end the connection. The cursor is that of the last event taken; events are taken in the order of their numbers, each on its own. Unknown events are passed over; of a malformed one all is taken that can be, on the safe side: an unreadable line of the list means leaving, an unreadable time of a purge means now; the log says so, sparingly. A move closes the old connection in order.

--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -89,6 +89,7 @@
         ("settings__specifics__hubByZone", [0, 2], "hubByZone"),
         ("settings__specifics__pipeKbPerS", [0.0, [1]], "pipeKbPerS"),
         ("limits__sockets", 0, "sockets"),
+        ("known__cmds", [{"cursor": 1, "nodes": {"hosts": [{"host": "a"}]}}], "known"),
     ],
 )
 def test_a_broken_file_is_named_and_nothing_is_taken_from_it(path: str, value: Any, named: str) -> None:
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,193 @@
+"""The command channel on real connections, its deadlines by a patched clock; discovery is scripted."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+from typing import Any
+from unittest.mock import Mock, patch
+
+import pytest
+from twisted.internet.defer import inlineCallbacks
+from twisted.trial.unittest import TestCase
+
+from tests.test_core import CONFIG
+from thornjunction.core.counters import Counters
+from thornjunction.demo import watch
+from thornjunction.demo.rig import reactor, until
+from thornjunction.demo.watch import GOOD, ScriptedDiscovery, WatchRig, answer, fetched_from, hold, line, say
+from thornjunction.net import channel as channels
+from thornjunction.net.wire.commands import decode_commands
+from thornjunction.runtime.config import parse_config
+from thornjunction.runtime.service import Service
+
+FIRST = {"cursor": 1, "drop": {"family": 3, "when": 5}}
+SECOND = {"cursor": 2, "drop": {"family": 4, "when": 5}}
+
+
+class WatchTest(TestCase):
+    timeout = 60
+
+    def setUp(self) -> None:
+        self.rig = WatchRig()
+        self.discovery, self.channel = self.rig.discovery, self.rig.channel
+        self.addCleanup(self.rig.stop)
+
+    @inlineCallbacks
+    def test_a_silent_watch_is_reopened_where_it_was(self) -> Any:
+        """Two silences, the first after half an answer, stay under 6 s; a slow answer is heard in the end."""
+        self.discovery.script = [say(GOOD), say(GOOD[:-9]), hold, hold, hold]
+        self.channel.start()
+        yield self.rig.polled(2)
+        started = self.rig.now
+        for polls, patience_ms, most_ms in ((3, 2000.0, 2500.0), (4, 1601.0, 4500.0), (5, 3201.0, 8000.0)):
+            self.rig.pass_time(patience_ms - 1.0)
+            self.assertEqual(self.channel.link.code, "")
+            self.rig.pass_time(1.0)
+            yield self.rig.ended(200.0)
+            yield self.rig.polled(polls)
+            self.assertLess(self.rig.now - started, most_ms)
+        self.rig.pass_time(4900.0)
+        self.discovery.links[-1].transport.write(answer({"cursor": 2, "cmds": [SECOND]}))
+        yield self.rig.polled(6)
+        self.assertEqual(self.discovery.polls, [(0, 1), (1, 1200), *[(1, 1)] * 3, (2, 1200)])
+        self.assertEqual(len(self.rig.taken), 2)
+
+    @inlineCallbacks
+    def test_a_process_that_was_late_reads_before_it_judges(self) -> Any:
+        for late_ms in (0.0, 3000.0):
+            yield self.rig.afresh(hold)
+            yield self.rig.polled(1)
+            link = self.rig.channel.link
+            self.rig.now = link.due + late_ms
+            self.rig.deadlines.run_due(self.rig.now)  # before any socket is read
+            self.discovery.links[-1].transport.write(GOOD)
+            yield until(lambda link=link: link.code or link.polls)
+            self.assertEqual((link.code, len(self.rig.taken)), ("", 1))
+
+    @inlineCallbacks
+    def test_what_is_no_answer_moves_nothing_and_what_follows_one_is_no_second(self) -> Any:
+        self.discovery.events = [FIRST]
+        for name, step in (watch.BAD | watch.MORE).items():
+            yield self.rig.afresh(step)
+            yield self.rig.failed(1)
+            yield self.rig.polled(3)
+            self.assertEqual(self.discovery.polls, [(0, 1), (int(name in watch.MORE), 1), (1, 1200)], name)
+            self.assertEqual(len(self.rig.taken), 1, name)
+
+    @inlineCallbacks
+    def test_a_channel_that_holds_no_poll_is_asked_with_pauses(self) -> Any:
+        """Neither does the cursor go past events that did not come."""
+        self.discovery.script = [say(answer({"cursor": 9, "cmds": []}))] * 9
+        self.channel.start()
+        for polls, pause_ms in enumerate((50.0, 100.0, 200.0, 400.0, 400.0), 2):
+            yield until(lambda polls=polls: self.channel.link and self.channel.link.empty == polls - 1)
+            self.rig.pass_time(pause_ms - 1.0)
+            self.assertEqual(len(self.discovery.polls), polls)
+            self.rig.pass_time(1.0)
+        yield until(lambda: self.channel.link.empty == 6)
+        self.discovery.links[0].transport.write(GOOD)  # nobody has asked
+        yield self.rig.ended(0.0)
+        self.assertEqual(({resume for resume, _ in self.discovery.polls}, self.rig.taken), ({0}, []))
+
+    @inlineCallbacks
+    def test_a_new_address_while_a_poll_is_open(self) -> Any:
+        other = ScriptedDiscovery()
+        self.addCleanup(other.stop)
+        self.discovery.script, other.events = [say(GOOD), hold], [{"cursor": 1}, SECOND]
+        self.channel.start()
+        yield self.rig.polled(2)
+        self.channel.move(self.discovery.address)
+        self.assertEqual(self.channel.link.code, "")  # the same one: nothing is disturbed
+        self.channel.move(other.address)
+        self.discovery.links[0].transport.write(GOOD)  # too late
+        yield self.rig.ended(50.0)
+        yield until(lambda: len(other.polls) == 2 and self.discovery.links[0].ended)
+        self.assertEqual((other.polls, len(self.rig.taken)), ([(1, 1200), (2, 1200)], 2))
+        self.assertEqual(self.discovery.links[0].ended, "ConnectionDone")  # in order, not reset
+
+    @inlineCallbacks
+    def test_a_new_address_while_a_dial_hangs(self) -> Any:
+        with socket.socket() as full, socket.socket() as filler:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            filler.connect(full.getsockname())  # the queue is full: no further one comes up
+            channel = self.rig.build(full.getsockname())
+            channel.start()
+            self.rig.pass_time(300.0)
+            self.assertIsNotNone(channel._dialling)
+            channel.move(self.discovery.address)
+            self.rig.pass_time(50.0)
+            yield self.rig.polled(1)
+            full.accept()[0].close()
+            full.setblocking(False)
+            self.assertRaises(BlockingIOError, full.accept)
+
+    @inlineCallbacks
+    def test_discovery_down_for_long_costs_few_dials_lines_and_descriptors(self) -> Any:
+        yield self.discovery.port.stopListening()
+        held, started = len(os.listdir("/proc/self/fd")), self.rig.now
+        with patch.object(channels, "log_end") as lines:
+            self.channel.start()
+            yield self.rig.failed(200)
+        yield self.rig.end()
+        self.assertLessEqual(len(os.listdir("/proc/self/fd")), held)
+        self.assertTrue(lines.call_count < 10 and self.rig.now - started > 200 * 0.4 * channels.MOST_AGAIN_MS)
+
+    @inlineCallbacks
+    def test_a_drain_while_the_watch_was_silent_is_heeded_at_its_return(self) -> Any:
+        service = service_of()
+        self.addCleanup(service.alarm.stop)
+        self.channel.take = service.take
+        self.discovery.tell(nodes={"whole": True, "hosts": [line("c1"), line("c2"), watch.ORIGIN]})
+        self.channel.start()
+        yield self.rig.polled(2)
+        drained = fetched_from(service)
+        self.discovery.held = None  # silent from here on
+        self.discovery.tell(nodes={"hosts": [line(drained, health="leaving")]})
+        self.rig.pass_time(2000.0)
+        yield until(lambda: self.channel.link is None)
+        self.assertEqual(fetched_from(service), drained)  # what is known stands
+        self.rig.pass_time(100.0)
+        yield until(lambda: self.channel.cursor == 2)
+        self.assertNotEqual(fetched_from(service), drained)
+
+
+def service_of() -> Service:
+    config = parse_config(json.dumps(CONFIG).encode(), {})
+    return Service(config, None, reactor, Counters(), lambda: config)
+
+
+def commands(*events: Any) -> bytes:
+    return json.dumps({"cursor": 4, "cmds": events}).encode()
+
+
+EVENTS = [
+    ({"nodes": {"hosts": [line("a"), line("b", health="odd")]}}, "a:SERVING b:DRAINING", "host-health"),
+    ({"nodes": {"hosts": [line("a", dial="x"), 3]}}, "a:DRAINING", "host-dial host-name"),
+    ({"nodes": {"hosts": [line("a", share=float("nan"))]}}, "a:SERVING", "host-share"),
+    ({"nodes": {"hosts": [line("a", born_ms=1e300, health="left")]}}, "a:GONE", "host-born_ms"),
+    ({"nodes": {"hosts": [None, 7], "whole": True}}, "", "host-name host-name event-form"),
+    ({"news": {"of": "a later version"}}, "", ""),
+    ({"drop": {"family": 3, "when": float("nan")}}, "None/3/inf", "drop-when"),
+    ({"cursor": None, "drop": {"id": "ff", "when": 5}}, "255/0/5.0", "event-cursor"),
+    (17, "", "event-cursor event-form"),
+]
+
+
+@pytest.mark.parametrize(("event", "means", "faults"), EVENTS)
+def test_a_bad_event_holds_up_none_and_hides_no_drain(event: Any, means: str, faults: str) -> None:
+    event = {"cursor": 3} | event if isinstance(event, dict) else event
+    told = decode_commands(commands({**SECOND, "cursor": 4}, event, SECOND))
+    said = sorted(watch.in_short(taken) for taken in told.events)
+    assert said == sorted(["None/4/5.0"] * 2 + [means] * bool(means))
+    assert told.faults == tuple(faults.split()) and told.events[0].cursor == 2
+
+
+def test_an_event_that_the_program_stumbles_over_holds_up_none() -> None:
+    take = Mock(side_effect=OverflowError)
+    channel = channels.Channel(None, ("127.0.0.1", 1), Mock(), float, take, Mock())
+    for _ in range(2):
+        channel.answered(decode_commands(commands(FIRST, SECOND)))
+    assert take.call_count == 2 and channel.cursor == 2
--- a/thornjunction/net/wire/commands.py
+++ b/thornjunction/net/wire/commands.py
@@ -1,16 +1,25 @@
-"""The command channel's events: changes to the list of shelfs, and purges."""
+"""The command channel's events: changes to the list of shelfs, and purges.
+
+Keys and events that are not known here are passed over, for the protocol may grow.  Of an event that is known
+but can't be read whole, all is taken that can be, on the side that breaks no rule, and the fault is told: a
+shelf with an unreadable line is taken as leaving, a purge with an unreadable time as one of now.  So one bad
+event holds up none after it, and no drain is passed over where it can be known whom it means."""
 
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
-from dataclasses import dataclass
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from typing import Any
 
 from thornjunction import interface as api
 from thornjunction.net.wire import ProtocolError
 
 STATES = {"active": api.State.SERVING, "leaving": api.State.DRAINING, "left": api.State.GONE}
+LARGEST = 1 << 53  # of a number: past it JSON's readers differ
+TOLD_FAULTS, MOST_FAULTS = 8, 1000  # of one answer: for the log; past these it is none, for each takes time
+UNREADABLE = KeyError, TypeError, ValueError, AttributeError, OverflowError
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +48,7 @@
     cursor: int
     key: int | None
     group: int
-    when_ms: float  # Unix milliseconds
+    when_ms: float  # Unix milliseconds; infinite: now
 
 
 Command = ListChange | Purge
@@ -48,52 +57,137 @@
 @dataclass(frozen=True, slots=True)
 class Commands:
     cursor: int
-    events: tuple[Command, ...]
+    events: tuple[Command, ...]  # by their numbers
+    faults: tuple[str, ...] = field(default=())  # what could not be read: codes, for the log
+
+
+class TooManyFaultsError(Exception):
+    """So that the readers of single fields, which pass over errors of values, let it through."""
+
+
+class Faults:
+    """What could not be read in one answer."""
+
+    def __init__(self) -> None:
+        self.codes: list[str] = []
+
+    def add(self, code: str) -> None:
+        self.codes.append(code)
+        if len(self.codes) > MOST_FAULTS:
+            raise TooManyFaultsError
 
 
 def parse_address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not (port.isascii() and port.isdigit()) or len(port) > 5 or not 0 < int(port) < 65536:
         raise ValueError(f"bad address {text[:80]!r}")
     return host, int(port)
 
 
 def decode_commands(data: bytes) -> Commands:
     try:
-        return read_commands(json.loads(data))
-    except RecursionError as error:
-        raise ProtocolError("commands-form") from error
-    except ValueError as error:
+        told = json.loads(data)
+    except (ValueError, RecursionError) as error:
         raise ProtocolError("commands-form") from error
+    return read_commands(told)
 
 
 def read_commands(told: Any) -> Commands:
     """Commands from parsed JSON, as the channel and the configuration hold them."""
+    faults = Faults()
     try:
-        events = tuple(_command(event) for event in told["cmds"])
-        return Commands(int(told["cursor"]), events)
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        cursor, listed = int(_number(told["cursor"])), told["cmds"]
+    except UNREADABLE as error:
         raise ProtocolError("commands-form") from error
+    if not isinstance(listed, list):
+        raise ProtocolError("commands-form")
+    try:
+        events = [command for event in listed if (command := _command(event, cursor, faults)) is not None]
+    except TooManyFaultsError as error:
+        raise ProtocolError("commands-faults") from error
+    events.sort(key=lambda command: command.cursor)
+    return Commands(cursor, tuple(events), tuple(faults.codes[:TOLD_FAULTS]))
+
+
+def _signed(value: Any) -> float:
+    """A number of a size that JSON's readers agree on; ValueError otherwise."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not -LARGEST <= value <= LARGEST:
+        raise ValueError("not a number in range")
+    return value
+
 
+def _number(value: Any) -> float:
+    """The same, and not negative."""
+    number = _signed(value)
+    if number < 0:
+        raise ValueError("negative")
+    return number
 
-def _command(event: Mapping[str, Any]) -> Command:
-    cursor = int(event["cursor"])
-    if "nodes" in event:
-        nodes = event["nodes"]
-        return ListChange(cursor, bool(nodes.get("whole", False)), tuple(_host(h) for h in nodes["hosts"]))
-    drop = event["drop"]
-    key = int(drop["id"], 16) if "id" in drop else None
-    return Purge(cursor, key, int(drop["family"]) if key is None else 0, float(drop["when"]))
-
-
-def _host(host: Mapping[str, Any]) -> Host:
-    return Host(
-        name=str(host["host"]),
-        address=parse_address(host["dial"]) if host.get("dial") else None,
-        site=str(host.get("site", "")),
-        kind=str(host.get("class", "")),
-        cell=int(host.get("block", 0)),
-        state=STATES[host["health"]],
-        weight=float(host.get("share", 1.0)),
-        born_ms=float(host.get("born_ms", 0.0)),
-    )
+
+def _command(event: Any, last: int, faults: Faults) -> Command | None:
+    """An event that can't be placed counts as the last one of its answer, so that it is taken."""
+    try:
+        cursor = int(_number(event["cursor"]))
+    except UNREADABLE:
+        cursor = last
+        faults.add("event-cursor")
+    try:
+        if "nodes" in event:
+            return _change(cursor, event["nodes"], faults)
+        return _purge(cursor, event["drop"], faults) if "drop" in event else None
+    except UNREADABLE:
+        faults.add("event-form")
+        return None
+
+
+def _change(cursor: int, nodes: Mapping[str, Any], faults: Faults) -> ListChange:
+    listed = nodes["hosts"]
+    if not isinstance(listed, list):
+        raise ValueError("not a list")
+    hosts = [host for line in listed if (host := _host(line, faults)) is not None]
+    if listed and not hosts:
+        # Guards what is known against a whole list of nothing but unreadable lines, which would end all.
+        raise ValueError("no line can be read")
+    return ListChange(cursor, bool(nodes.get("whole", False)), tuple(hosts))
+
+
+def _host(line: Any, faults: Faults) -> Host | None:
+    """A line that doesn't name its shelf is passed over; one with another fault says that the shelf leaves,
+    unless it is only the weight, which no rule hangs on."""
+
+    def read(key: str, kind: Callable[[Any], Any], default: Any) -> Any:
+        try:
+            return kind(line[key]) if key in line else default
+        except UNREADABLE:
+            faults.add(f"host-{key}")
+            return default
+
+    if not isinstance(line, Mapping) or not isinstance(line.get("host"), str):
+        faults.add("host-name")
+        return None
+    weight, found = read("share", _number, 1.0), len(faults.codes)
+    state = read("health", STATES.__getitem__, api.State.DRAINING)
+    address = read("dial", lambda text: parse_address(text) if text else None, None)
+    born_ms, cell = read("born_ms", _signed, 0.0), read("block", _signed, 0)
+    if "health" not in line:
+        faults.add("host-health")
+    if state is api.State.SERVING and len(faults.codes) > found:
+        state = api.State.DRAINING
+    place = str(line.get("site", "")), str(line.get("class", ""))
+    return Host(line["host"], address, *place, int(cell), state, float(weight), float(born_ms))
+
+
+def _purge(cursor: int, drop: Mapping[str, Any], faults: Faults) -> Purge:
+    key, group = None, 0
+    if "id" in drop:
+        key = int(drop["id"], 16)
+        if not 0 <= key < 1 << 64:
+            raise ValueError("not an object")
+    else:
+        group = int(_number(drop["family"]))
+    try:
+        when_ms = float(_number(drop["when"]))
+    except UNREADABLE:
+        faults.add("drop-when")
+        when_ms = math.inf
+    return Purge(cursor, key, group, when_ms)
--- a/thornjunction/net/wire/http1.py
+++ b/thornjunction/net/wire/http1.py
@@ -59,12 +59,18 @@
         return len(self._buffer) + len(self._body) + 64 * (self._head is not None)
 
     def feed(self, data: bytes) -> list[M]:
-        self._buffer += data
+        """All messages that are whole now."""
         messages: list[M] = []
-        while (message := self._message()) is not None:
+        while (message := self.next(data)) is not None:
             messages.append(message)
+            data = b""
         return messages
 
+    def next(self, data: bytes = b"") -> M | None:
+        """The first whole message; what follows it stays, unread."""
+        self._buffer += data
+        return self._message()
+
     def _build(self, start: str, headers: Mapping[str, str], body: bytes) -> M:
         raise NotImplementedError
 
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -149,6 +149,9 @@
 
 def _known(told: Any) -> Commands:
     try:
-        return read_commands(told)
+        commands = read_commands(told)
     except ProtocolError as error:
         raise ConfigError("known: not a list of commands") from error
+    if commands.faults:  # here, unlike in the channel, somebody can mend it
+        raise ConfigError(f"known: {', '.join(commands.faults)}")
+    return commands
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -96,7 +96,7 @@
         log.info(
             "start", name=self.config.name, sockets=self.config.sockets, shelves=str(self.config.shelves)
         )
-        self.channel.apply(self.config.known)
+        self.channel.replay(self.config.known)
         if self.config.operators is not None:
             self.listen(*self.config.operators, self._operators_link)
         self.channel.start()
