A shelf that is listed again keeps its start: it got a full cold budget with each list

Cause: Service._entry converted born_ms anew at each event, by what both clocks read then; the result differed by fractions of a ms, by a second after a step of the system's clock, and policy/placement.py takes another started_ms for a new process: a fresh bucket, what is out and what was learnt forgotten.

Change: runtime/births.py keeps the converted start by shelf and born_ms until the shelf has gone.

tests/test_watch.py::test_a_shelf_that_is_listed_again_is_no_new_process fails with the conversion made each time.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -18,7 +18,7 @@
 from thornjunction.demo.rig import reactor, until
 from thornjunction.demo.watch import GOOD, ScriptedDiscovery, WatchRig, answer, fetched_from, hold, line, say
 from thornjunction.net import channel as channels
-from thornjunction.net.wire.commands import decode_commands
+from thornjunction.net.wire.commands import ListChange, decode_commands
 from thornjunction.runtime.config import parse_config
 from thornjunction.runtime.service import Service
 
@@ -163,6 +163,20 @@
     return json.dumps({"cursor": 4, "cmds": events}).encode()
 
 
+def test_a_shelf_that_is_listed_again_is_no_new_process() -> None:
+    """Also where the system's clock was set meanwhile; a later start is one."""
+    service, seen = service_of(), []
+    for unix_s, born_ms in ((1e9, 9.999e11), (1e9 + 7.1, 9.999e11), (1e9 - 60.0, 9.999e11), (1e9, 9.9991e11)):
+        with patch("thornjunction.net.alarm.time.time", lambda unix_s=unix_s: unix_s):
+            told = commands({"cursor": 1, "nodes": {"hosts": [line("c1", born_ms=born_ms)]}})
+            service.take(decode_commands(told).events[0])
+        seen.append(service.router.places.servers["c1"])
+    assert seen[0] is seen[1] is seen[2] is not seen[3]
+    service.take(ListChange(2, True, ()))
+    assert not service.births._known
+    service.alarm.stop()
+
+
 EVENTS = [
     ({"nodes": {"hosts": [line("a"), line("b", health="odd")]}}, "a:SERVING b:DRAINING", "host-health"),
     ({"nodes": {"hosts": [line("a", dial="x"), 3]}}, "a:DRAINING", "host-dial host-name"),
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -33,6 +33,7 @@
 from thornjunction.net.wire.operators import encode_figures, encode_word
 from thornjunction.policy.router import Router
 from thornjunction.runtime import parts
+from thornjunction.runtime.births import Births
 from thornjunction.runtime.config import Config, ConfigError, check_complete
 from thornjunction.runtime.drain import Drain
 from thornjunction.runtime.figures import figures_of
@@ -73,6 +74,7 @@
         self.engine = Engine(self.router, attempts, core_ms, deadlines, self.pool, counters)
         self.counters, self.files = counters, Counter[str]()
         self.pool.ends = self.engine
+        self.births = Births()
         self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take, self._serve)
         self.clients = ClientTable(max(config.sockets // 3, 1), budget)
         self.drain = Drain(self.clients, deadlines, core_ms, self.engine.hurry)
@@ -200,6 +202,7 @@
         if isinstance(command, ListChange):
             self.pool.update(command.hosts, command.whole)
             entries = tuple(self._entry(host) for host in command.hosts)
+            self.births.keep(command.hosts, command.whole)
             self.engine.feed(api.Servers(entries, command.whole))
         else:
             age = max(core_ms() - unix_to_core(command.when_ms), 0.0)
@@ -213,7 +216,7 @@
             state=host.state,
             weight=host.weight,
             cell=host.cell,
-            started_ms=unix_to_core(host.born_ms) if host.born_ms > 0 else 0.0,
+            started_ms=self.births.started_ms(host),
         )
 
     def reload(self) -> None:
