End clients' connections orderly, and begin nothing for a client that has gone

ClientLink.close aborted (net/client_link.py: _look, add, connectionMade; front_fastcgi.py: dataReceived, _ask; front_signed.py: _malformed, "pipeline") for idle, silent, half a request, evicted, table-full and protocol errors: a request or answer that crossed such a close was lost in a reset. A connection refused as table-full had no TCP_NODELAY. A request without KEEP_CONN shut our side while its neighbours on the connection were still owed answers, and these were then written into a shut connection. A burst was dispatched whole in the turn that read it, before the client's end behind it was read; what an ABORT_REQUEST in the same chunk called off was begun as well. After a long turn the timers ran first, so a waiting retry went out for a client whose end lay unread. On the signed front an answer at once left the number of the request behind it overwritten, and its client's leaving was not told.

All of these flush, shut our side, read on (bounded in bytes and time) and close; only memory, a client that does not read, one that sends on past MAX_CROSSED and the linger's end abort. Lingering connections leave the table at once; beside a full table an eighth of it may linger, then the longest lingering one is cut off. An end gives up in the core at once what the connection asked. An alarm over 50 ms late lets the sockets go first, once.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -29,6 +29,9 @@
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         pass
 
+    def getHandle(self) -> None:  # noqa: N802
+        pass
+
     def loseWriteConnection(self) -> None:  # noqa: N802
         self.ended = True
 
@@ -184,3 +187,19 @@
     assert not link.transport.disconnected
     link.dataReceived(b"x")
     assert link.transport.disconnected
+
+
+def test_an_answer_at_once_leaves_the_number_of_the_request_behind_it_alone() -> None:
+    hall, gone = Hall(), []  # type: ignore[var-annotated]
+    link, take, hall.abandon = hall.connect("signed"), hall.open, gone.append  # type: ignore[method-assign]
+
+    def open_(call: Call, reply: Reply) -> int:
+        number = take(call, reply)
+        if number == 1:
+            reply(Refused(0.0))
+        return number
+
+    hall.open = open_  # type: ignore[method-assign]
+    link.dataReceived(http_request() * 2)
+    link.connectionLost()
+    assert gone == [2]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,7 +8,6 @@
 import socket
 import subprocess
 import sys
-import time
 from pathlib import Path
 from typing import Any
 from unittest.mock import patch
@@ -23,6 +22,7 @@
 from thornjunction import interface as api
 from thornjunction.core.counters import Counters
 from thornjunction.core.ports import Call, Order
+from thornjunction.demo.bare import address, call, connect
 from thornjunction.net import shelves
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.metrics import Metrics
@@ -254,28 +254,6 @@
     return {f"socket:[{row.split()[9]}]" for row in rows} & held
 
 
-def address(of: socket.socket) -> str:
-    return f"127.0.0.1:{of.getsockname()[1]}"
-
-
-def call(door: str, line: str) -> str:
-    """One call at the operators' door, and all of its reply."""
-    with connect(door) as caller:
-        caller.sendall(line.encode() + b"\n")
-        return b"".join(iter(lambda: caller.recv(4096), b"")).decode()
-
-
-def connect(address: str) -> socket.socket:
-    host, _, port = address.partition(":")
-    end = time.monotonic() + 30.0
-    while time.monotonic() < end:
-        try:
-            return socket.create_connection((host, int(port)), timeout=20)
-        except ConnectionRefusedError:
-            continue
-    raise AssertionError("never listened")
-
-
 def test_a_faulty_configuration_is_named_and_ends_with_two(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text("{}")
--- a/thornjunction/demo/rig.py
+++ b/thornjunction/demo/rig.py
@@ -147,7 +147,7 @@
         self.alarm.stop()
         for port in self.ports:
             yield port.stopListening()
-        for link in (*self.clients, *self.pool.links):
+        for link in (*self.clients, *self.clients.lingering, *self.pool.links):
             link.close("test")
-        yield self.until(lambda: not len(self.clients) and not len(self.pool.links))
+        yield self.until(lambda: not self.clients.connected and not len(self.pool.links))
         self.alarm.stop()
--- a/thornjunction/net/alarm.py
+++ b/thornjunction/net/alarm.py
@@ -10,6 +10,8 @@
 
 EARLY_MS = 1e9  # keeps starts before this machine's own boot above zero, which the module reads as "long ago"
 
+LATE_MS = 50.0  # of a ring: half of the 0.1 s after which no attempt may begin for a client that has left
+
 
 def core_ms() -> float:
     """The core's clock: monotonic milliseconds."""
@@ -28,7 +30,7 @@
         self.reactor = reactor
         self.deadlines = Deadlines(self._arm)
         self._call: Any = None
-        self._at = math.inf
+        self._at, self._late = math.inf, False
 
     def _arm(self, when: float) -> None:
         if self._call is not None and self._call.active():
@@ -39,8 +41,14 @@
         self._call = self.reactor.callLater(max(when - core_ms(), 0.0) / 1000.0, self._ring)
 
     def _ring(self) -> None:
-        self._call = None
-        self.deadlines.run_due(core_ms())
+        now, self._call = core_ms(), None
+        if now - self._at > LATE_MS and not self._late:
+            # Guards clients that have left meanwhile against a retry, and answers that have come against a
+            # time-out: after a long turn the event loop goes to its sockets first, once.
+            self._late, self._call = True, self.reactor.callLater(0, self._ring)
+            return
+        self._late = False
+        self.deadlines.run_due(now)
         due = self.deadlines.next_due()
         if due < math.inf:
             self._arm(due)
--- a/thornjunction/net/client_link.py
+++ b/thornjunction/net/client_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable, Iterator
 
 from twisted.internet import protocol
@@ -14,11 +15,16 @@
 from thornjunction.memory.slots import SlotTable
 from thornjunction.net.endings import code_of, log_end
 from thornjunction.net.transport import Transport
+from thornjunction.net.turns import Turns
 
 LOOK_MS = 500.0  # between looks at a connection's times
 SILENT_MS = 2_000.0  # for the first whole request, and for the rest of one that has begun: 3 s are owed
 LINGER_MS = 10_000.0  # for the client to read what was written, and to close its side
+CROSSING_MS = 1_000.0  # the same where no answer is on its way; the platform forgives a crossing of 50 ms
+LINGER_SHARE = 8  # of the table, for connections that linger beside a full one: a third of all descriptors
+# for clients, a third for shelfs, and this much more still leave a quarter for all else
 MAX_CROSSED = 131_072  # bytes that may cross our close: two of the largest requests
+READ_BYTES = 65_536  # at once, as Twisted does
 IDLE_MS, STALL_MS = 30_000.0, 10_000.0  # without a request; with a client that does not read
 
 
@@ -29,6 +35,8 @@
         self.budget = budget
         self._slots: SlotTable[ClientLink] = SlotTable(capacity)
         self._idle: dict[ClientLink, None] = {}  # in the order in which they fell idle
+        self.lingering: dict[ClientLink, None] = {}  # in the order in which we shut our side
+        self.turns = Turns()
 
     def __len__(self) -> int:
         return len(self._slots)
@@ -36,19 +44,38 @@
     def __iter__(self) -> Iterator[ClientLink]:
         return iter(self._slots)
 
+    @property
+    def connected(self) -> int:
+        """Those that linger, too."""
+        return len(self._slots) + len(self.lingering)
+
     def add(self, link: ClientLink) -> int | None:
         """Its number; None where every connection has an open request."""
         if self._slots.full:
             # Guards against clients that ask once and hold their connection: the next ones found no room.
             longest = next(iter(self._idle), None)
             if longest is not None:
-                longest.close("evicted")
-                self.remove(longest)
+                longest.finish("evicted", CROSSING_MS)
         number = self._slots.add(link)
         if number is not None:
             self._idle[link] = None
+            self._bound()
         return number
 
+    def linger(self, link: ClientLink) -> None:
+        """It reads on until its client has closed too, in nobody's place."""
+        self.remove(link)
+        self.lingering[link] = None
+        self._bound()
+
+    def _bound(self) -> None:
+        """Guards the descriptors against clients that never close: the longest lingering one is cut off."""
+        most = self._slots.capacity + max(self._slots.capacity // LINGER_SHARE, 1)
+        while self.lingering and self.connected > most:
+            longest = next(iter(self.lingering))
+            del self.lingering[longest]
+            longest.close("lingering")
+
     def mark(self, link: ClientLink, is_open: bool) -> None:
         """Told after each turn of a connection: it goes to the end of the line, or out of it."""
         self._idle.pop(link, None)
@@ -57,6 +84,7 @@
 
     def remove(self, link: ClientLink) -> None:
         self._idle.pop(link, None)
+        self.lingering.pop(link, None)
         if link.slot is not None:
             self._slots.remove(link.slot)
 
@@ -72,6 +100,7 @@
         self.table, self.deadlines, self.clock = table, deadlines, clock
         self.slot: int | None = None
         self.code, self.answered = "", 0
+        self._owed = False  # whether a request was open as we ended it
         self.asked = False  # whether a whole request ever came
         self._since = self._part_since = 0.0  # of the last turn; of a request that has come in part, or 0
         self._unread, self._paused = 0, False  # bytes written while the client did not read
@@ -83,11 +112,11 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         self._since = self.clock()
+        self.transport.setTcpNoDelay(True)  # first: what the system holds back is lost with a reset
+        self.transport.registerProducer(self, True)
         self.slot = self.table.add(self)
         if self.slot is None:
-            return self.close("table-full")
-        self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, True)
+            return self.finish("table-full", CROSSING_MS)
         self._look()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
@@ -97,7 +126,9 @@
         self.code = self.code or code_of(reason)
         self.table.remove(self)
         self._hold(0)
-        log_end(self.kind, self.slot, self.code, answered=self.answered, owed=self.is_open())
+        owed = self._owed or self.is_open()
+        log_end(self.kind, self.slot, self.code, answered=self.answered, owed=owed)
+        self.forget()
 
     def is_open(self) -> bool:
         """Whether a request of this connection is owed its answer."""
@@ -107,6 +138,10 @@
         """Bytes of requests that have come in part."""
         raise NotImplementedError
 
+    def forget(self) -> None:
+        """Nobody waits for its requests any more: give them up in the core, at once."""
+        raise NotImplementedError
+
     def turned(self, whole: bool = False) -> None:
         """After bytes came or an answer went out; ``whole``: a request has come whole."""
         if self.code:
@@ -130,7 +165,7 @@
         now = self.clock()
         code = "" if self.is_open() else self._overdue(now)
         if code:
-            return self.close(code)
+            return self.finish(code, CROSSING_MS)
         self._watch = self.deadlines.add(now + LOOK_MS, self._look)
 
     def _overdue(self, now: float) -> str:
@@ -148,19 +183,27 @@
             self._unread += len(data)
 
     def close(self, code: str) -> None:
-        self.code = self.code or code
+        """Cut off.  Only for who costs too much, and who had the time to end orderly: a close over unread
+        bytes resets the connection, and the client loses an answer on its way."""
+        self._end(code)
         self.transport.abortConnection()
 
-    def finish(self, code: str) -> None:
+    def _end(self, code: str) -> None:
+        self.code, self._owed = self.code or code, self._owed or self.is_open()
+        self.deadlines.cancel(self._watch)
+        self.forget()
+
+    def finish(self, code: str, linger_ms: float = LINGER_MS) -> None:
         """Close after what was written has gone out, our side first.  A request that crosses the close is
         read and passed over: unread, it would reset the connection, and take along an answer on its way."""
         if self._linger is not None:
             return
-        self.code = self.code or code
-        self._linger = self.deadlines.add(self.clock() + LINGER_MS, lambda: self.close(code))
+        self._end(code)
+        self._linger = self.deadlines.add(self.clock() + linger_ms, lambda: self.close(code))
+        self._hold(self._unread)
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self.table.mark(self, False)
+        self.table.linger(self)
 
     def pass_over(self, data: bytes) -> None:
         """What comes behind our close.  Guards the core against a client that goes on sending."""
@@ -168,6 +211,25 @@
         if self._crossed > MAX_CROSSED:
             self.close(self.code)
 
+    def read_on(self) -> bytes:
+        """What has come since Twisted read, taken in before a request goes to the core.  Guards against
+        sending on for a client that has gone by then: its end shows only behind all that it sent."""
+        handle, data = self.transport.getHandle(), bytearray()
+        if not isinstance(handle, socket.socket):  # TLS, with bytes of its own between
+            return b""
+        try:
+            while len(data) < MAX_CROSSED:
+                more = handle.recv(READ_BYTES)
+                if not more:  # Twisted reads the same, and ends the connection
+                    self._end("closed-by-peer")
+                    break
+                data += more
+        except BlockingIOError:
+            pass
+        except OSError:
+            self._end("reset")
+        return bytes(data)
+
     def leave(self) -> None:
         """Close if nothing is under way.  A new connection, whose first request may be on its way, gets the
         time that is owed to it."""
--- a/thornjunction/net/front_fastcgi.py
+++ b/thornjunction/net/front_fastcgi.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol as Port
 
-from twisted.internet import protocol
-from twisted.python.failure import Failure
-
 from thornjunction.core.ports import Answer, Call, Failed, Refused, Reply
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.client_link import ClientLink, ClientTable
@@ -55,10 +53,12 @@
         self.turned_away = turned_away
         self.reader = fastcgi.RequestReader()
         self.pending: dict[int, Pending] = {}
+        self.waiting: deque[tuple[fastcgi.Asked, float]] = deque()  # for the core, and since when
+        self.leaving = False  # the client wants its connection closed once all is answered
         self.misuses = 0
 
     def is_open(self) -> bool:
-        return bool(self.pending)
+        return bool(self.pending or self.waiting)
 
     def held(self) -> int:
         return self.reader.held
@@ -66,10 +66,35 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.code:
             return self.pass_over(data)
+        self._read(data)
+        if self.waiting:
+            self.table.turns.take(self)
+
+    def look_again(self) -> None:
+        data = self.read_on()
+        if data and not self.code:
+            self._read(data)
+
+    def step(self) -> bool:
+        if self.waiting:
+            asked, since = self.waiting.popleft()
+            self._ask(asked, self.clock() - since)
+        return bool(self.waiting)
+
+    def forget(self) -> None:
+        self.table.turns.leave(self)
+        self.waiting.clear()
+        self.reader = fastcgi.RequestReader()
+        pending, self.pending = self.pending, {}
+        for request in pending.values():
+            if request.number is not None:
+                self.core.abandon(request.number)
+
+    def _read(self, data: bytes) -> None:
         try:
             messages = self.reader.feed(data)
         except ProtocolError as error:
-            return self.close(str(error))
+            return self.finish(str(error))
         whole = False
         for message in messages:
             if not self.code:
@@ -77,18 +102,15 @@
                 whole = whole or isinstance(message, fastcgi.Asked | fastcgi.Declined)
         self.turned(whole)
 
-    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
-        super().connectionLost(reason)
-        pending, self.pending = self.pending, {}
-        for request in pending.values():
-            if request.number is not None:
-                self.core.abandon(request.number)
-
     def _take(self, message: fastcgi.Message) -> None:
         match message:
+            case fastcgi.Asked() if len(self.pending) + len(self.waiting) < MAX_OPEN:
+                self.waiting.append((message, self.clock()))
             case fastcgi.Asked():
-                self._ask(message)
+                self._overloaded(message)
             case fastcgi.Aborted(request_id):
+                kept = [entry for entry in self.waiting if entry[0].request_id != request_id]
+                self.waiting = deque(kept)
                 gone = self.pending.pop(request_id, None)
                 if gone is not None and gone.number is not None:
                     self.core.abandon(gone.number)
@@ -97,10 +119,15 @@
             case fastcgi.Management(reply):
                 self.transport.write(reply)
 
-    def _ask(self, asked: fastcgi.Asked) -> None:
+    def _overloaded(self, asked: fastcgi.Asked) -> None:
+        self._count(asked, Refused(0.0))
+        end = fastcgi.encode_end(asked.request_id, fastcgi.OVERLOADED)
+        self._write(asked.request_id, end, asked.keep)
+
+    def _ask(self, asked: fastcgi.Asked, waited_ms: float) -> None:
         ident = asked.request_id
         if ident in self.pending:
-            return self.close("fastcgi-id-twice")
+            return self.finish("fastcgi-id-twice")
         if asked.params.get("SCRIPT_NAME") == platform.CHECK:
             said = platform.READY if self.ready() else platform.NOT_READY
             return self._write(ident, fastcgi.encode_answer(ident, said), asked.keep)
@@ -109,20 +136,20 @@
             self._count(asked, Refused(0.0))
             return self._write(ident, fastcgi.encode_answer(ident, busy), asked.keep)
         try:
-            call = platform.decode_call(asked.params, asked.body, self.spent_ms())
+            call = platform.decode_call(asked.params, asked.body, max(self.spent_ms(), waited_ms))
         except ProtocolError:
             self._count(asked, Failed(timed_out=False))
             return self._misused(ident, asked.keep)
         self.misuses = 0
         pending = self.pending[ident] = Pending(asked.keep)
-        number = None
-        if len(self.pending) <= MAX_OPEN:
-            number = self.core.open(call, lambda answer: self._reply(ident, pending, answer))
-        if number is not None:
+        number = self.core.open(call, lambda answer: self._reply(ident, pending, answer))
+        if number is None:
+            if self.pending.pop(ident, None) is pending:
+                self._overloaded(asked)
+        elif self.pending.get(ident) is pending:
             pending.number = number
-        elif self.pending.pop(ident, None) is pending:
-            self._count(asked, Refused(0.0))
-            self._write(ident, fastcgi.encode_end(ident, fastcgi.OVERLOADED), asked.keep)
+        else:  # answered, or its connection ended while the core decided
+            self.core.abandon(number)
 
     def _count(self, asked: fastcgi.Asked, answer: Answer) -> None:
         """A request that never reached the core, which counts the others."""
@@ -132,7 +159,7 @@
         """Guards the core's time against a client that sends the same again as soon as it is turned away."""
         self.misuses += 1
         self._write(ident, fastcgi.encode_answer(ident, platform.BAD_REQUEST), keep)
-        if self.misuses >= MISUSES and not self.pending and not self.code:
+        if self.misuses >= MISUSES and not self.is_open() and not self.code:
             self.finish("misuse")
 
     def _reply(self, ident: int, pending: Pending, answer: Answer) -> None:
@@ -142,7 +169,8 @@
 
     def _write(self, ident: int, data: bytes, keep: bool) -> None:
         self.write(data)
-        if not keep:
+        self.leaving = self.leaving or not keep
+        if self.leaving and not self.is_open():
             self.finish("no-keep-conn")
         else:
             self.turned()
--- a/thornjunction/net/front_signed.py
+++ b/thornjunction/net/front_signed.py
@@ -8,9 +8,6 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from twisted.internet import protocol
-from twisted.python.failure import Failure
-
 from thornjunction import interface as api
 from thornjunction.core.ports import Answer
 from thornjunction.logs import get_logger
@@ -73,19 +70,26 @@
         if self.code:
             return self.pass_over(data)
         before = len(self.waiting)
+        self._read(data)
+        if self.waiting and not self.serving:
+            self._read(self.read_on())
+        whole = len(self.waiting) > before
+        self._next()
+        self.turned(whole)
+
+    def _read(self, data: bytes) -> None:
+        if self.code:
+            return
         try:
             self.waiting.extend(self.reader.feed(data))
         except ProtocolError as error:
             return self._malformed(str(error))
         if len(self.waiting) > MAX_WAITING:
-            return self.close("pipeline")
-        whole = len(self.waiting) > before
-        self._next()
-        self.turned(whole)
+            self.finish("pipeline")
 
-    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
-        super().connectionLost(reason)
+    def forget(self) -> None:
         self.waiting.clear()
+        self.reader = http1.RequestReader(MAX_BODY)
         number, self.number, self.serving = self.number, None, False
         if number is not None:
             self.door.core.abandon(number)
@@ -94,7 +98,7 @@
         """The first thing that is wrong ends the connection; an answer that is owed to an earlier request
         is not given a second one in its place."""
         if self.serving:
-            return self.close(code)
+            return self.finish(code)
         self._write(http1.HttpResponse(http1.STATUS_OF.get(code, 400), {}, b"", False))
         self.code = code
 
@@ -117,12 +121,14 @@
             return self._write(signed.encode_misused(error.status, request.keep, error.retry_after_s))
         if grant.taken is not None and self.door.gossip is not None:
             self.door.gossip.tell(*grant.taken)
-        self.serving = True
+        self.serving, answered = True, self.answered
         number = self.door.core.open(call, lambda answer: self._reply(request, target, grant, answer))
         if number is None:
             self.serving = False
             self._write(http1.HttpResponse(503, {"Retry-After": "1"}, b"", request.keep))
-        elif self.serving:  # else it was answered at once
+        elif self.code:  # its connection ended while the core decided
+            self.door.core.abandon(number)
+        elif self.answered == answered:  # else it was answered at once, and the next one may be in the core
             self.number = number
 
     def _reply(self, request: http1.HttpRequest, target: str, grant: tokens.Grant, answer: Answer) -> None:
--- a/thornjunction/net/transport.py
+++ b/thornjunction/net/transport.py
@@ -19,6 +19,8 @@
 
     def write(self, data: bytes) -> None: ...
 
+    def getHandle(self) -> object: ...  # noqa: N802
+
     def loseConnection(self) -> None: ...  # noqa: N802
 
     def loseWriteConnection(self) -> None: ...  # noqa: N802
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -123,7 +123,8 @@
     def _watch(self, due: float, since: float = 0.0, used_s: float = 0.0) -> None:
         now, busy_s = core_ms(), time.process_time()
         wall_s = (now - since) / 1000.0
-        self.admission.looked(now - due, (busy_s - used_s) / wall_s if since else 0.0)
+        late_ms = max(now - due, self.clients.turns.late_ms(now))
+        self.admission.looked(late_ms, (busy_s - used_s) / wall_s if since else 0.0)
         self.alarm.deadlines.add(now + TICK_MS, lambda: self._watch(now + TICK_MS, now, busy_s))
 
     def busy(self) -> bytes:
@@ -271,7 +272,7 @@
         self._look()
 
     def _look(self) -> None:
-        if (len(self.engine.requests) or len(self.clients)) and core_ms() < self._last:
+        if (len(self.engine.requests) or self.clients.connected) and core_ms() < self._last:
             self.alarm.deadlines.add(core_ms() + LOOK_MS, self._look)
             return
         self.channel.stopped = True
@@ -281,7 +282,7 @@
         self._flush()
 
     def _flush(self) -> None:
-        if len(self.clients) and core_ms() < self._last:
+        if self.clients.connected and core_ms() < self._last:
             self.alarm.deadlines.add(core_ms() + LOOK_MS, self._flush)
             return
         log.info("drained")
