Derive the end after SIGTERM from the longest deadline, and take what waits to be accepted

Cause (runtime/service.py: end, _close_ports, _look, _flush; runtime/drain.py). The last look came at SIGKILL less 80 ms, and the flush went on for 500 ms more, past SIGKILL. Refusals began at 1.9 s and the hurry at 2.0 s whatever the deadlines: with a longest deadline of 0.6 s (SIGKILL at 1.3 s) neither ever happened, and a request that had come before SIGTERM with more time was lost at the exit; with 3 s, what was open was given up 1.5 s before it had to be. A port was closed over connections that the system had accepted for it, which resets them. A SIGTERM while discovery was silent left the port to open 0.5 s after the start, and to close again; one during the imports killed the process.

Change. runtime/shutdown.py (split from service.py) draws all times from the longest deadline: accept until 0.8 s, or the last answers where that is sooner; refuse from 1.9 s, or halfway to the last answers; what is open keeps its own time until 160 ms before SIGKILL, is then hurried, and connections with nothing open end; exit 80 ms before SIGKILL at the latest, but with requests still open not before 0.5 s after it, as an exit loses them and SIGKILL no more than that. The 2.0 s of the hurry stay for the operators' drain, whose rule they come from. What the system holds for a port is accepted before the port closes, unless a successor has the socket. Before it is ready the process ends at once and opens no port; from its first steps on SIGTERM ends it with 0.

Seen failing before, or with the guard taken out: a hung request with 9 s left unanswered at the exit; connections in the backlog reset; the end after SIGKILL for each length of deadline; a port opened after SIGTERM.

--- a/tests/test_client_endings.py
+++ b/tests/test_client_endings.py
@@ -12,6 +12,8 @@
 from thornjunction.demo.bare import ENDS, BareClient, BareClients, aborted, asked
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.client_link import IDLE_MS, SILENT_MS, ClientTable
+from thornjunction.runtime.drain import Drain
+from thornjunction.runtime.shutdown import Shutdown
 
 BIG = (b"DONE", b"w" * 240_000)
 
@@ -161,3 +163,20 @@
             self.assertEqual(client.answers() if front == 3 else 2, 2)
             client.leave()
             await self.clients.gone()
+
+    async def test_connections_that_the_system_holds_when_the_port_closes_were_taken(self) -> None:
+        deadlines, stopped = self.rig.alarm.deadlines, list[bool]()
+        drain = Drain(self.rig.clients, deadlines, core_ms, self.engine.hurry)
+        told = (core_ms, lambda: stopped.append(True))
+        shutdown = Shutdown(self.rig.clients, drain, self.engine, deadlines, *told)
+        drain.start(0.0)
+        shutdown.ports, shutdown._last = self.rig.ports[3:], core_ms() + 9000.0
+        self.rig.ports[3].numberAccepts = 1
+        [self.clients.connect().send(asked(number + 1)) for number in range(3)]
+        shutdown._close_ports()
+        for client in self.clients.all:
+            await self.until(client.ended)
+            self.assertEqual((client.end, client.answers()), ("fin", 1))
+            client.leave()
+        await self.until(lambda: stopped)
+        drain.stop()
--- a/thornjunction/demo/start.py
+++ b/thornjunction/demo/start.py
@@ -55,18 +55,30 @@
     return int(port.getHost().port)
 
 
+def listed(*kinds: str, at: str, site: str) -> dict[str, Any]:
+    """The command channel's list of one active shelf of each kind, all at one address."""
+    place = {"dial": at, "site": site, "health": "active"}
+    hosts = [place | {"host": kind, "class": kind} for kind in kinds]
+    return {"cursor": 1, "cmds": [{"cursor": 1, "nodes": {"whole": True, "hosts": hosts}}]}
+
+
+def config_at(listen: str, channel: str, shelf: str, longest_ms: float) -> dict[str, Any]:
+    """A configuration with an edge and the origin at one shelf's address: clips may run twice, orders not."""
+    kind = {"aimMs": longest_ms / 2, "giveUpMs": longest_ms}
+    classes = [{"name": "clips", "idempotency": "safe"}, {"name": "orders", "idempotency": "unsafe"}]
+    more = {"classes": [kind | one for one in classes], "zones": ["hub", "demo"]}
+    more["specifics"] = SETTINGS["specifics"] | {"passOn": [False, True], "instancesByZone": [0, 1]}
+    known = listed("box", "root", at=shelf, site="demo")
+    told = {"name": "demo", "listen": listen, "channel": channel, "known": known}
+    return told | {"limits": {"sockets": 90}, "settings": SETTINGS | more}
+
+
 def demo_config(reactor: Any) -> tuple[Config, Extras]:
     """Start the stand-ins; the router's configuration and extras that point at them."""
     edge, origin = listen(reactor, DemoShelf), listen(reactor, DemoShelf)
     hosts = [
-        {"host": "edge1", "dial": f"127.0.0.1:{edge}", "site": "demo", "class": "box", "health": "active"},
-        {
-            "host": "origin",
-            "dial": f"127.0.0.1:{origin}",
-            "site": "demo",
-            "class": "root",
-            "health": "active",
-        },
+        *listed("box", at=f"127.0.0.1:{edge}", site="demo")["cmds"][0]["nodes"]["hosts"],
+        *listed("root", at=f"127.0.0.1:{origin}", site="demo")["cmds"][0]["nodes"]["hosts"],
     ]
     discovery = listen(reactor, lambda: DemoDiscovery(hosts, reactor))
     told: dict[str, Any] = {
--- a/thornjunction/runtime/drain.py
+++ b/thornjunction/runtime/drain.py
@@ -26,14 +26,17 @@
         self.clients, self.deadlines, self.clock, self.hurry = clients, deadlines, clock, hurry
         self.active = self.refusing = False
         self._timer: Deadline | None = None
-        self._refuse_at = 0.0
+        self._refuse_at = self._hurry_at = 0.0
 
-    def start(self, wait_ms: float) -> None:
-        """Connections are left alone for so long: new ones come until all know that we are leaving."""
+    def start(
+        self, wait_ms: float, refuse_ms: float = REFUSE_MS, hurry_ms: float = REFUSE_MS + HURRY_MS
+    ) -> None:
+        """Connections are left alone for so long: new ones come until all know that we are leaving.  Then
+        idle ones end; later new work is refused; last what is open is hurried."""
         if self.active:
             self.stop()
         now = self.clock()
-        self.active, self._refuse_at = True, now + REFUSE_MS
+        self.active, self._refuse_at, self._hurry_at = True, now + refuse_ms, now + hurry_ms
         self._timer = self.deadlines.add(now + wait_ms, self._sweep)
 
     def stop(self) -> None:
@@ -43,7 +46,7 @@
     def _sweep(self) -> None:
         now = self.clock()
         self.refusing = now >= self._refuse_at
-        if now >= self._refuse_at + HURRY_MS:
+        if now >= self._hurry_at:
             self.hurry()
         for link in self.clients:
             link.leave()
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -37,17 +37,14 @@
 from thornjunction.runtime.drain import Drain
 from thornjunction.runtime.figures import figures_of
 from thornjunction.runtime.handover import Handover
+from thornjunction.runtime.shutdown import Shutdown
 
 if TYPE_CHECKING:  # what the operators' file turns on is imported where there is one
     from thornjunction.runtime.extras import Extras
 
-ACCEPT_MS = 800.0  # after SIGTERM: new connections come for 400 ms, requests on open ones for 200 ms more
-KILL_MS, LONGEST_MS = 700.0, 3_000.0  # SIGKILL: so long after the longest deadline, which counts so much
-EARLY_MS = 80.0  # before it: the last answers; and again, the last connections
 LASTING = "name", "listen", "sockets", "roles", "shelves"  # what a reload doesn't change
 CATCH_UP_MS = 500.0  # for the command channel's first answer; then what is known has to do
 AWAY_MS = 600.0  # after the operators' call: new connections come for 0.2 s past the first no
-LOOK_MS, FLUSH_MS = 20.0, 500.0  # between looks whether all is answered; for the last bytes to go out
 
 log = get_logger(__name__)
 
@@ -76,6 +73,7 @@
         self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take, self._serve)
         self.clients = ClientTable(max(config.sockets // 3, 1), budget)
         self.drain = Drain(self.clients, deadlines, core_ms, self.engine.hurry)
+        self.shutdown = Shutdown(self.clients, self.drain, self.engine, deadlines, core_ms, self._stop)
         self.handover = Handover(config.shared_folder, config.name)
         self.ready = self.ending = self.succeeded = self.faulty = False
         self.admission = Admission(random.Random(config.seed).random, config.cores)
@@ -104,7 +102,7 @@
         self.alarm.deadlines.add(core_ms() + CATCH_UP_MS, self._serve)
 
     def _serve(self) -> None:
-        if self.ready:
+        if self.ready or self.ending:  # Guards against a port that opens after SIGTERM
             return
         self.ready = True
         self._watch(core_ms())
@@ -256,35 +254,15 @@
         if self.ending:
             return
         self.ending, self.succeeded = True, self.handover.succeeded()
-        wait_ms = 0.0 if self.succeeded else ACCEPT_MS
         log.info("draining", succeeded=self.succeeded)
         if self.fleet is not None:
             self.fleet.leave()
-        now, deadlines = core_ms(), self.alarm.deadlines
-        self.drain.start(wait_ms)
-        self._last = now + min(self.config.longest_ms, LONGEST_MS) + KILL_MS - EARLY_MS
-        self.engine.ends_at = self._last - EARLY_MS
-        deadlines.add(now + wait_ms, self._close_ports)
-
-    def _close_ports(self) -> None:
-        for port in self._ports:
-            port.stopListening()
-        self._look()
-
-    def _look(self) -> None:
-        if (len(self.engine.requests) or self.clients.connected) and core_ms() < self._last:
-            self.alarm.deadlines.add(core_ms() + LOOK_MS, self._look)
-            return
+        if not self.ready:  # nothing was taken
+            return self._stop()
+        self.shutdown.start(self.config.longest_ms, self._ports, accept=not self.succeeded)
+
+    def _stop(self) -> None:
         self.channel.stopped = True
-        for link in self.clients:
-            link.finish("drained")
-        self._last = core_ms() + FLUSH_MS
-        self._flush()
-
-    def _flush(self) -> None:
-        if self.clients.connected and core_ms() < self._last:
-            self.alarm.deadlines.add(core_ms() + LOOK_MS, self._flush)
-            return
         log.info("drained")
         self.reactor.stop()
 
--- a/thornjunction/runtime/start.py
+++ b/thornjunction/runtime/start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import signal
 import sys
 from collections.abc import Mapping
 from pathlib import Path
@@ -35,6 +36,7 @@
 
 def serve(environ: Mapping[str, str], extras_path: Path) -> int:
     """Serve until SIGTERM; the exit code: 0, or 2 for a faulty configuration, named on standard error."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))  # until the service takes it: nothing is owed yet
     logs.to_stream(sys.stderr)
     try:
         config = load_config(environ)
