Give the largest of a class a floor at a gate, seven tenths of their class's chance

What earns its keep is that small requests pass; what the operators' terms forbid is that the largest hardly do.

Change: the old weight, with a floor of 0.7 of its class's chance for what is large.

--- a/thornjunction/limits/gates.py
+++ b/thornjunction/limits/gates.py
@@ -9,14 +9,14 @@
 
 CUT, RAISE, LEAST = 0.85, 0.04, 0.05  # a fifth late leaves it open, a half late one third
 OPEN = 0.00015  # of all, opened a ms: seven seconds from shut to open
-EVEN = 0.8  # of its class's chance: what the largest have at least; the operators want two thirds answered
+LARGEST = 0.7  # of its class's chance: what the largest have at least; half of its answers are owed to them
 SPAN_MS, MOST = 50.0, 9.0  # since the last answer: an answer speaks for that time, as so many at most
 
 
 class Gate:
     """Lets through a share by the answers in time: it holds for one busy front and for hundreds that have one
     request out each, as a count would not.  Large requests give way first: more are served for the bytes.
-    Within a class they do so by a fifth at most, or what is large would hardly be served at all.
+    Within a class they do so up to a bound, or what is large would hardly be served at all.
 
     One of hundreds of fronts gets few answers.  So a late one weighs more, the longer none came before it: it
     speaks for the many that others got meanwhile.  And the gate opens with time too."""
@@ -39,4 +39,4 @@
     def lets(self, now: float, draw: Callable[[], float], weight: float = 1.0, usual: float = 1.0) -> bool:
         """Whether one more may go on; ``weight``: its bytes over the mean of all; ``usual``: its class's."""
         share = self.look(now)
-        return share >= 1 or draw() < share**usual * min(max(share ** (weight - usual), EVEN), 1.0 / EVEN)
+        return share >= 1 or draw() < max(share**weight, LARGEST * share**usual)
