--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -66,6 +66,9 @@
     def send(self, order: Order) -> None:
         self.sent.append(order)
 
+    def withdraw(self, number: int) -> bool:
+        return False
+
     def give_up(self, number: int) -> None:
         self.given_up.append(number)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -23,7 +23,7 @@
 from thornjunction import interface as api
 from thornjunction.core.counters import Counters
 from thornjunction.core.ports import Call, Order
-from thornjunction.net import shelves
+from thornjunction.net import shelf_link, shelves
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.metrics import Metrics
 from thornjunction.net.transport import Building
@@ -147,7 +147,7 @@
     @inlineCallbacks
     def test_a_connection_gets_worn_by_what_is_given_up_on_it(self) -> Any:
         """The idents of what was given up are kept, for its late answers; so many, and no more."""
-        for number in range(shelves.WORN + 1):
+        for number in range(shelf_link.WORN + 1):
             self.rig.script = [None]
             self.send(number, f"t{number}")
             yield self.rig.until(lambda number=number: len(self.rig.asked) == number + 1)
--- a/thornjunction/core/engine.py
+++ b/thornjunction/core/engine.py
@@ -116,6 +116,7 @@
         self.deadlines.cancel(request.backstop)
         self.observer.answered(request.call.class_name, None, self.clock() - request.since)
         self.feed(api.ClientGone(str(number)))
+        self._withdraw(number, request)
 
     def hurry(self) -> None:
         """All that is open gets its answer now, of what is known by now."""
@@ -137,10 +138,12 @@
         del self._numbers[out.request, out.attempt]
         took = self.clock() - out.sent
         self.observer.attempted(status, took)
+        request = None
         if status is api.Status.DONE and content is not None:
-            self._finish(int(out.request), Served(content))
+            request = self._finish(int(out.request), Served(content))
         final = self.requests.get(int(out.request)) is None
         self.feed(api.Outcome(out.request, out.attempt, out.server, status, took, final=final, report=report))
+        self._withdraw(int(out.request), request)  # after it, or the router learns from the copies first
 
     def probed(self, server: str, status: api.Status, took_ms: float, report: api.Report | None) -> None:
         self.feed(api.Probed(server, status, took_ms, report))
@@ -173,9 +176,9 @@
             case api.Cancel():
                 self._cancel(action)
             case api.Refuse():
-                self._finish(int(action.request), Refused(action.wait_ms))
+                self._end(int(action.request), Refused(action.wait_ms))
             case api.Fail():
-                self._finish(int(action.request), None)
+                self._end(int(action.request), None)
             case api.SetTimer():
                 token = action.token
                 self.deadlines.add(self.clock() + action.in_ms, lambda: self.feed(api.TimerFired(token)))
@@ -200,27 +203,46 @@
         self.upstreams.send(Order(number, request.call, fetch))
 
     def _timed_out(self, number: int) -> None:
-        self.upstreams.give_up(number)
-        self.ended(number, api.Status.TIMEOUT)
+        self._call_back(number, api.Status.TIMEOUT)
 
     def _cancel(self, cancel: api.Cancel) -> None:
         number = self._numbers.get((cancel.request, cancel.attempt))
         if number is not None:
-            self.upstreams.give_up(number)
-            self.ended(number, api.Status.CANCELLED)
+            self._call_back(number, api.Status.CANCELLED)
+
+    def _call_back(self, number: int, status: api.Status) -> None:
+        """Stop waiting for an attempt's end; one that has not begun never ran."""
+        if self.upstreams.withdraw(number):
+            return self.ended(number, api.Status.SKIPPED)
+        self.upstreams.give_up(number)
+        self.ended(number, status)
+
+    def _withdraw(self, number: int, request: Open | None) -> None:
+        """No attempt of a request that has ended may begin: its client may have left, and what it would do
+        is owed to nobody."""
+        for attempt in range(request.attempts if request is not None else 0):
+            out = self._numbers.get((str(number), attempt))
+            if out is not None and self.upstreams.withdraw(out):
+                self.ended(out, api.Status.SKIPPED)
 
     def _overdue(self, number: int) -> None:
-        self._finish(number, None)
+        request = self._finish(number, None)
         self.feed(api.ClientGone(str(number)))
+        self._withdraw(number, request)
 
-    def _finish(self, number: int, answer: Answer | None) -> None:
-        """The one final answer: who comes second finds the slot free.  None: failed, the clock says why."""
+    def _end(self, number: int, answer: Answer | None) -> None:
+        self._withdraw(number, self._finish(number, answer))
+
+    def _finish(self, number: int, answer: Answer | None) -> Open | None:
+        """The one final answer: who comes second finds the slot free, and gets None back.  No answer given:
+        failed, the clock says why."""
         request = self.requests.remove(number)
         if request is None:
-            return
+            return None
         self.deadlines.cancel(request.backstop)
         now = self.clock()
         if answer is None:
             answer = Failed(timed_out=now >= request.since + request.call.left_ms - NEAR_DEADLINE_MS)
         self.observer.answered(request.call.class_name, answer, now - request.since)
         request.reply(answer)
+        return request
--- a/thornjunction/core/ports.py
+++ b/thornjunction/core/ports.py
@@ -73,6 +73,10 @@
 
     def send(self, order: Order) -> None: ...
 
+    def withdraw(self, number: int) -> bool:
+        """Take back an attempt that has not begun, whose end is then not reported any more; False: it may
+        have begun, and stays as it is."""
+
     def give_up(self, number: int) -> None:
         """Stop waiting; its end is not reported any more."""
 
--- a/thornjunction/interface.py
+++ b/thornjunction/interface.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
@@ -258,11 +259,12 @@
     join: bool = False  # wait for a fill that is under way
     renew: bool = False  # serve an ageing copy and fetch it anew behind
     held_only: bool = False  # the source gives only what it holds
+    start_ms: float = math.inf  # not begun so many ms after the decision, it ends SKIPPED: it never ran
 
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """Stop waiting for an attempt.  Proves nothing of whether it ran."""
+    """Stop waiting for an attempt.  Proves nothing of whether it ran; one that had not begun ends SKIPPED."""
 
     request: str
     attempt: int
--- a/thornjunction/net/transport.py
+++ b/thornjunction/net/transport.py
@@ -17,8 +17,12 @@
 class Transport(Protocol):
     """What a protocol may do with its connection."""
 
+    dataBuffer: bytes  # noqa: N815 - after ``doWrite``: empty where the system took all that was written
+
     def write(self, data: bytes) -> None: ...
 
+    def doWrite(self) -> object: ...  # noqa: N802
+
     def loseConnection(self) -> None: ...  # noqa: N802
 
     def loseWriteConnection(self) -> None: ...  # noqa: N802
--- a/thornjunction/net/wire/shelf.py
+++ b/thornjunction/net/wire/shelf.py
@@ -87,7 +87,7 @@
     named: dict[str, str] = {}
     for pair in data.decode("ascii").split(","):
         name, equals, value = pair.partition("=")
-        if not equals:
+        if not equals or not pair.isprintable():  # a tag goes into the heads of answers to clients
             raise ValueError(pair)
         named[name] = value
     return named
@@ -99,7 +99,9 @@
     for pair in text.split(";"):
         name, _, value = pair.partition(":")
         try:
-            told[name] = float(value)
+            number = float(value)
         except ValueError:
             continue
+        if math.isfinite(number):  # one that is not would stay in every mean that it enters
+            told[name] = number
     return told
