--- a/thornjunction/demo/rig.py
+++ b/thornjunction/demo/rig.py
@@ -46,8 +46,12 @@
 
     def __init__(self, rig: Rig) -> None:
         self.rig, self.reader = rig, ArrayReader()
+        self.ended: Any = None  # why, once the connection has ended
         rig.links.append(self)
 
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self.ended = reason.value
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         for verb, ident, *rest in self.reader.feed(data):
             self.rig.heard.append((verb.decode(), ident, *rest))
@@ -99,13 +103,16 @@
     def listen(self, build: Any) -> Any:
         return reactor.listenTCP(0, Building(build), interface="127.0.0.1")
 
-    def list_servers(self) -> None:
+    def list_servers(self, edge: tuple[str, int] | None = None, state: api.State = api.State.SERVING) -> None:
+        """All of them, the edge as it is told of: where, and in which state."""
         roles = {"edge1": api.Role.EDGE, "origin": api.Role.ORIGIN}
         hosts, entries = [], []
         for (name, role), port in zip(roles.items(), self.ports[:2], strict=True):
-            address = ("127.0.0.1", port.getHost().port)
-            hosts.append(Host(name, address, "here", "x", 0, api.State.SERVING, 8.0, 0.0))
-            entries.append(api.ServerEntry(name, role, "here", weight=8.0))
+            here, state_here = ("127.0.0.1", port.getHost().port), api.State.SERVING
+            if name == "edge1":
+                here, state_here = edge or here, state
+            hosts.append(Host(name, here, "here", "x", 0, state_here, 8.0, 0.0))
+            entries.append(api.ServerEntry(name, role, "here", state_here, weight=8.0))
         self.pool.update(tuple(hosts), True)
         self.engine.feed(api.Servers(tuple(entries)))
 
