--- a/tests/test_shelf_endings.py
+++ b/tests/test_shelf_endings.py
@@ -16,15 +16,12 @@
 from thornjunction import interface as api
 from thornjunction.core.ports import Call, Order
 from thornjunction.demo.clients import FastCgiClient
-from thornjunction.demo.deaf_door import DeafDoor
-from thornjunction.demo.rig import ShelfStandIn
 from thornjunction.net import shelf_link, shelves
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.wire import fastcgi
 from thornjunction.net.wire.resp import encode_array
 
 SKIPPED, REFUSED, RESET = api.Status.SKIPPED, api.Status.REFUSED, api.Status.RESET
-ANSWER = b"DONE", b"x"
 
 
 def connecting() -> Any:
@@ -50,129 +47,106 @@
     @inlineCallbacks
     def out(self, number: int, **more: Any) -> Any:
         """One that the shelf has and does not answer; the stand-in that has it."""
-        before, self.rig.script = len(self.rig.asked), [None]
+        self.rig.script, wanted = [None], self.rig.next_want()
         self.send(number, **more)
-        yield self.rig.until(lambda: len(self.rig.asked) > before)
+        yield wanted
         return self.rig.asked[-1][0]
 
-    def later(self, ms: float) -> None:
-        with patch.object(self.pool, "clock", lambda: core_ms() + ms):
-            self.rig.alarm.deadlines.run_due(core_ms() + ms)
-
-    def deaf(self) -> DeafDoor:
-        door = DeafDoor(lambda: ShelfStandIn(self.rig))
-        self.addCleanup(door.close)
-        self.rig.list_servers(door.address)
-        return door
-
-    def names(self) -> list[bytes]:
-        return [want[1] for want in self.rig.wants()]
-
     @inlineCallbacks
     def test_what_waits_for_a_dial_never_begins_once_its_time_is_over(self) -> Any:
-        ends = {  # how the wait ends; whether the dial goes on
-            "bound": (lambda door: self.later(8000.0), True),
-            "withdrawn": (lambda door: self.assertTrue(self.pool.withdraw(1)), True),
-            "drained": (lambda door: self.rig.list_servers(door.address, api.State.DRAINING), False),
-            "gone": (lambda door: self.rig.list_servers(door.address, api.State.GONE), False),
-            "moved": (lambda door: self.rig.list_servers(), False),
-            "never up": (lambda door: self.later(9000.0), False),
+        ends = {  # how the wait ends; whether the dial goes on, and a connection comes up after it
+            "bound": (lambda _: self.rig.later(8000.0), True, SKIPPED),
+            "bound, seen late": (
+                lambda _: setattr(self.pool, "clock", lambda: core_ms() + 8000.0),
+                True,
+                None,
+            ),
+            "withdrawn": (lambda _: self.assertTrue(self.pool.withdraw(1)), True, None),
+            "drained": (lambda at: self.rig.list_servers(api.State.DRAINING, edge1=at), False, SKIPPED),
+            "gone": (lambda _: self.rig.list_servers(api.State.GONE), False, SKIPPED),
+            "moved": (lambda _: self.rig.list_servers(), False, SKIPPED),
+            "never up": (lambda _: self.rig.later(9000.0), False, REFUSED),
         }
-        # Longer than the second after which the system knocks again.
-        self.pool.limits = replace(self.pool.limits, dial_ms=9000.0)
-        for how, (end, goes_on) in ends.items():
-            door, self.told = self.deaf(), []
-            self.send(1, start_ms=8000.0 if how == "bound" else 9e9)
+        self.pool.limits = replace(self.pool.limits, dial_ms=9000.0)  # the system knocks again after 1 s
+        for how, (end, goes_on, status) in ends.items():
+            door, self.told = self.rig.deafen("edge1"), []
+            self.send(1, start_ms=8000.0 if how.startswith("bound") else 9e9)
             yield self.rig.until(connecting)
             dialling = connecting()
-            end(door)
-            status = [] if how == "withdrawn" else [(1, REFUSED if how == "never up" else SKIPPED)]
-            self.assertEqual(self.told, status, how)
+            end(door.address)
+            self.assertEqual(self.told, [(1, status)] if status else [], how)
             self.assertEqual([one.fileno() >= 0 for one in dialling], [goes_on], how)
             if how == "drained":
                 self.send(2)
-                self.assertEqual(self.told, [(1, SKIPPED), (2, SKIPPED)])
+                self.assertEqual(self.told.pop(), (2, SKIPPED))
             door.open()
             if goes_on:
                 yield self.rig.until(lambda: len(self.pool.links))
-                (link,) = self.pool.links
-                self.rig.script, before = [ANSWER], len(self.told)
                 self.send(3, "fence")
-                yield self.rig.until(lambda before=before: len(self.told) > before)
-                link.close("test")
-                yield self.rig.until(lambda: not len(self.pool.links))
-        self.assertEqual(self.names(), [b"fence", b"fence"])
+                yield self.rig.until(lambda: (3, api.Status.DONE) in self.told)
+                yield self.rig.part()
+                self.pool.clock = core_ms
+        self.assertEqual([want[1] for want in self.rig.wants()], [b"fence"] * 3)
 
     @inlineCallbacks
     def test_no_attempt_begins_once_its_request_has_ended(self) -> Any:
-        """Where attempts may not be cancelled, those that wait for a dial were sent seconds later."""
         self.pool.ends, self.pool.limits = self.engine, replace(self.pool.limits, dial_ms=9000.0)
         self.engine.feed(replace(SETTINGS_HERE, may_cancel=False))
-        for how in ("abort", "closed", "hurried", "overdue"):
-            door = self.deaf()
-            self.rig.ports[1], origin = _At(door.address), self.rig.ports[1]
-            self.rig.list_servers()  # keyed requests go straight to the origin
-            self.rig.ports[1] = origin
+        ends = {
+            "abort": lambda at: at.write(fastcgi.encode_record(fastcgi.ABORT, 7, b"")),
+            "closed": lambda at: at.loseConnection(),
+            "hurried": lambda _: self.engine.hurry(),
+            "overdue": lambda _: self.engine._overdue(self.engine.requests.numbers()[0]),
+        }
+        for how, end in ends.items():
+            door = self.rig.deafen("origin")  # where keyed requests go straight
             client = yield self.rig.client(3, FastCgiClient)
             keyed = PARAMS | {"SCRIPT_NAME": "/do/keyed", "HTTP_X_TXN_KEY": "0" * 32}
             client.transport.write(asked(params=keyed))
-            yield self.rig.until(lambda: self.pool.shelves["origin"].waiting)
-            self.assertTrue(self.engine.router.effects.ran)
-            if how == "abort":
-                client.transport.write(fastcgi.encode_record(fastcgi.ABORT, 7, b""))
-            elif how == "closed":
-                client.transport.loseConnection()
-            elif how == "hurried":
-                self.engine.hurry()
-            else:
-                self.engine._overdue(self.engine.requests.numbers()[0])
-            yield self.rig.until(lambda: not self.pool.shelves["origin"].waiting)
-            self.assertFalse(self.engine.router.effects.ran or len(self.engine.attempts), how)
+            origin, ran = self.pool.shelves["origin"], self.engine.router.effects.ran
+            yield self.rig.until(lambda origin=origin: origin.waiting and ran)
+            end(client.transport)
+            yield self.rig.until(lambda origin=origin: not origin.waiting)
+            self.assertFalse(ran or len(self.engine.attempts), how)
             door.open()
             yield self.rig.until(lambda: len(self.pool.links))
-            (link,) = self.pool.links
             self.pool.probe("origin")  # what comes first on that connection shows that nothing else did
             yield self.rig.until(lambda: self.rig.heard)
             self.assertEqual(self.rig.heard.pop()[0], "busy", how)
-            link.close("test")
-            yield self.rig.until(lambda: not len(self.pool.links))
+            yield self.rig.part()
 
     @inlineCallbacks
     def test_one_late_dial_does_not_speak_for_a_shelf_that_answers(self) -> Any:
-        door = self.deaf()
+        door = self.rig.deafen("edge1")
         door.open()
         self.pool.limits = replace(self.pool.limits, max_streams=1, dial_ms=9000.0)
         for number, heard in ((10, True), (20, False)):
             shelf = yield self.out(number)
             door.shut()
             self.send(number + 1)  # waits for a dial
-            shelf.say(b"t%d" % number, *ANSWER)
-            yield self.rig.until(lambda number=number: f"t{number + 1}".encode() in self.names())
-            self.assertEqual(self.told.pop(0), (number, api.Status.DONE))
-            yield self.rig.until(lambda: self.told)
-            self.later(9000.0)  # the dial, which nobody waits for
+            shelf.say(b"t%d" % number, b"DONE", b"x")
+            yield self.rig.until(lambda: len(self.told) == 2)
+            self.assertEqual(self.told, [(number, api.Status.DONE), (number + 1, api.Status.DONE)])
+            self.rig.later(9000.0)  # the dial, which nobody waits for
             shelf = yield self.out(number + 2)
             self.send(number + 3)
             if heard:
-                shelf.say(b"nobody", *ANSWER)
-                (way,) = self.pool.links
-                yield self.rig.until(lambda way=way: way.strays)
+                shelf.say(b"nobody", b"DONE", b"x")
+                yield self.rig.until(lambda: any(link.strays for link in self.pool.links))
             self.told.clear()
-            self.later(9000.0)
+            self.rig.later(9000.0)
             self.assertEqual(self.told, [(number + 3, SKIPPED if heard else REFUSED)])
-            shelf.say(b"t%d" % (number + 2), *ANSWER)
-            yield self.rig.until(lambda: len(self.told) == 2)
-            self.told.clear()
+            yield self.rig.part()
+            self.told = []
             door.open()
 
     def test_a_dead_shelf_is_told_of_though_all_had_given_up(self) -> None:
-        self.deaf()
+        self.rig.deafen("edge1")
         self.send(1)
         self.pool.withdraw(1)
-        self.later(400.0)
+        self.rig.later(400.0)
         self.send(2)
-        self.send(3)
-        self.assertEqual(self.told, [(2, REFUSED)])
+        self.assertEqual((self.told, self.pool.shelves["edge1"].waiting), ([(2, REFUSED)], {}))
 
     @inlineCallbacks
     def test_bytes_that_a_shelf_does_not_read_are_not_sent_once_given_up(self) -> Any:
@@ -186,42 +160,41 @@
                 self.send(number, body=b"x" * 100_000)
             self.assertFalse(link.has_room("new"))
             self.pool.give_up(number)
-            self.later(shelf_link.HELD_MS)
+            self.rig.later(shelf_link.HELD_MS)
             yield self.rig.until(lambda: self.told)
         self.assertEqual(self.told, [(open_, RESET) for open_ in range(number)])
         shelf.transport.resumeProducing()
         yield self.rig.until(lambda: shelf.ended)
-        self.assertNotIn(f"t{number}".encode(), self.names())
+        self.assertNotIn(f"t{number}".encode(), [want[1] for want in self.rig.wants()])
 
     @inlineCallbacks
     def test_what_breaks_a_connection_leaves_what_was_out_as_perhaps_run(self) -> Any:
-        one, fields = encode_array((b"t", b"DONE", b"-", b"x")), b"a=" + b"x" * 4095
-        ways = {
-            "half a line": lambda at: (at.write(one[:7]), at.loseConnection()),
-            "a reset": lambda at: at.abortConnection(),
-            "an endless answer": lambda at: at.write(one[:-7] + b"$240001\r\nxx"),
-            "fields too long": lambda at: at.write(encode_array((b"t", b"DONE", fields, b"x"))),
-            "a line break in a field": lambda at: at.write(
-                encode_array((b"t", b"DONE", b"rev=a\r\nb", b"x"))
-            ),
-            "three items": lambda at: at.write(encode_array((b"t", b"DONE", b"-"))),
-            "an ident of odd bytes": lambda at: at.write(encode_array((b"\xff", b"DONE", b"-", b"x"))),
-            "answers to nothing, without end": lambda at: at.write(encode_array((b"n", *ANSWER, b"")) * 99),
-            "a close as a request is written": None,
+        one, long = encode_array((b"n", b"DONE", b"-", b"x")), b"a=" + b"x" * 4095
+        ways = {  # what the shelf does, after what bytes
+            "half a line": ("loseConnection", one[:7]),
+            "a reset": ("abortConnection", b""),
+            "a close as a request is written": ("shutdown", b""),
+            "an endless answer": ("", one[:-7] + b"$240001\r\nxx"),
+            "answers to nothing, without end": ("", one * 99),
+            "fields too long": ("", encode_array((b"t", b"DONE", long, b"x"))),
+            "a line break in a field": ("", encode_array((b"t", b"DONE", b"rev=a\r\nb", b"x"))),
+            "three items": ("", encode_array((b"t", b"DONE", b"-"))),
+            "an ident of odd bytes": ("", encode_array((b"\xff", b"DONE", b"-", b"x"))),
         }
-        for number, (how, act) in enumerate(ways.items()):
-            shelf = yield self.out(2 * number)
-            if act is not None:
-                act(shelf.transport)
-            else:
+        for number, (how, (act, data)) in enumerate(ways.items()):
+            shelf = yield self.out(number)
+            shelf.transport.write(data)
+            if act == "shutdown":
                 shelf.transport.socket.shutdown(2)
                 self.send(999)
+            elif act:
+                getattr(shelf.transport, act)()
             yield self.rig.until(lambda: not len(self.pool.links))
-            self.assertEqual(set(self.told), {(2 * number, RESET), *([] if act else [(999, RESET)])}, how)
-            self.told, self.rig.script = [], [ANSWER]
-            self.send(2 * number + 1)
+            self.assertEqual(self.told, [(number, RESET), (999, RESET)][: 1 + (act == "shutdown")], how)
+            self.told = []
+            self.send(number)
             yield self.rig.until(lambda: self.told)
-            self.assertEqual(self.told.pop(), (2 * number + 1, api.Status.DONE), how)
+            self.assertEqual(self.told.pop(), (number, api.Status.DONE), how)
 
     @inlineCallbacks
     def test_a_second_answer_is_not_taken_for_that_to_the_next_attempt(self) -> Any:
@@ -237,27 +210,17 @@
     @inlineCallbacks
     def test_what_crosses_an_idle_close_resets_nothing(self) -> Any:
         for reads in (True, False):
-            self.rig.script, self.told = [ANSWER], []
+            self.told = []
             self.send(1)
             yield self.rig.until(lambda: self.told)
             shelf, (link,) = self.rig.links[-1], self.pool.links
-            self.later(shelf_link.IDLE_SHARE * 15_000.0)
-            shelf.transport.write(encode_array((b"t1", *ANSWER, b""))[:9])  # half a late answer
+            self.rig.later(shelf_link.IDLE_SHARE * 15_000.0)
+            shelf.transport.write(encode_array((b"t1", b"DONE", b"x", b""))[:9])  # half a late answer
             self.assertFalse(link.has_room("new"))
             if not reads:
                 shelf.transport.pauseProducing()
-                self.later(shelf_link.IDLE_SHARE * 15_000.0 + shelf_link.LINGER_MS)
+                self.rig.later(shelf_link.IDLE_SHARE * 15_000.0 + shelf_link.LINGER_MS)
             yield self.rig.until(lambda: not len(self.pool.links))
             if reads:
                 yield self.rig.until(lambda shelf=shelf: shelf.ended)
                 self.assertIsInstance(shelf.ended, ConnectionDone)
-
-
-class _At:
-    """A port as the rig asks one for its address."""
-
-    def __init__(self, address: tuple[str, int]) -> None:
-        self.port = address[1]
-
-    def getHost(self) -> Any:  # noqa: N802
-        return self
--- a/thornjunction/demo/deaf_door.py
+++ b/thornjunction/demo/deaf_door.py
@@ -33,7 +33,7 @@
             self.port.stopReading()
         self.filler = socket.create_connection(self.address)
 
-    def close(self) -> Any:
+    def stopListening(self) -> Any:  # noqa: N802
         self.filler.close()
         self.listener.close()
         return self.port.stopListening() if self.port is not None else None
--- a/thornjunction/demo/rig.py
+++ b/thornjunction/demo/rig.py
@@ -16,6 +16,7 @@
 from thornjunction.core.counters import Counters
 from thornjunction.core.engine import Engine
 from thornjunction.demo.clients import HttpClient as Client
+from thornjunction.demo.deaf_door import DeafDoor
 from thornjunction.memory.budget import Budget
 from thornjunction.net.alarm import Alarm, core_ms
 from thornjunction.net.client_link import ClientTable
@@ -77,6 +78,7 @@
         self.script: list[tuple[bytes, bytes] | None] = []
         self.asked: list[tuple[ShelfStandIn, bytes]] = []
         self.waiters: list[Deferred[None]] = []
+        self.doors: list[DeafDoor] = []
         self.alarm = Alarm(reactor)
         limits = Limits(max_streams=4, dial_ms=400.0, idle_ms=15_000.0, connections=20)
         budget = Budget(1_000_000)
@@ -103,19 +105,38 @@
     def listen(self, build: Any) -> Any:
         return reactor.listenTCP(0, Building(build), interface="127.0.0.1")
 
-    def list_servers(self, edge: tuple[str, int] | None = None, state: api.State = api.State.SERVING) -> None:
-        """All of them, the edge as it is told of: where, and in which state."""
+    def list_servers(self, state: api.State = api.State.SERVING, **moved: tuple[str, int]) -> None:
+        """All of them, the edge in that state; who was moved, at the new address."""
         roles = {"edge1": api.Role.EDGE, "origin": api.Role.ORIGIN}
         hosts, entries = [], []
         for (name, role), port in zip(roles.items(), self.ports[:2], strict=True):
-            here, state_here = ("127.0.0.1", port.getHost().port), api.State.SERVING
-            if name == "edge1":
-                here, state_here = edge or here, state
-            hosts.append(Host(name, here, "here", "x", 0, state_here, 8.0, 0.0))
-            entries.append(api.ServerEntry(name, role, "here", state_here, weight=8.0))
+            address = moved.get(name, ("127.0.0.1", port.getHost().port))
+            told = state if name == "edge1" else api.State.SERVING
+            hosts.append(Host(name, address, "here", "x", 0, told, 8.0, 0.0))
+            entries.append(api.ServerEntry(name, role, "here", told, weight=8.0))
         self.pool.update(tuple(hosts), True)
         self.engine.feed(api.Servers(tuple(entries)))
 
+    def deafen(self, name: str) -> DeafDoor:
+        """Move a server to a port at which connects hang."""
+        door = DeafDoor(lambda: ShelfStandIn(self))
+        self.doors.append(door)
+        self.list_servers(api.State.SERVING, **{name: door.address})
+        return door
+
+    def later(self, ms: float) -> None:
+        """What is due by then is due now, for the pool."""
+        clock, self.pool.clock = self.pool.clock, lambda: core_ms() + ms
+        self.alarm.deadlines.run_due(core_ms() + ms)
+        self.pool.clock = clock
+
+    @inlineCallbacks
+    def part(self) -> Any:
+        """End the pool's connections."""
+        for link in self.pool.links:
+            link.close("test")
+        yield self.until(lambda: not len(self.pool.links))
+
     def wanted(self, link: ShelfStandIn, ident: bytes) -> None:
         self.asked.append((link, ident))
         step = self.script.pop(0) if self.script else (b"DONE", b"wave")
@@ -152,9 +173,10 @@
     @inlineCallbacks
     def stop(self) -> Any:
         self.alarm.stop()
-        for port in self.ports:
+        for port in (*self.ports, *self.doors):
             yield port.stopListening()
-        for link in (*self.clients, *self.pool.links):
+        for link in self.clients:
             link.close("test")
-        yield self.until(lambda: not len(self.clients) and not len(self.pool.links))
+        yield self.part()
+        yield self.until(lambda: not len(self.clients))
         self.alarm.stop()
--- a/thornjunction/net/shelves.py
+++ b/thornjunction/net/shelves.py
@@ -277,7 +277,11 @@
         for ident, (sent, data) in list(found.waiting.items()):
             if not link.free():
                 return
-            if link.has_room(ident) and now <= sent.start_by:
+            if found.waiting.get(ident, (None,))[0] is not sent:
+                continue  # ended by what the end of one before it led to
+            if now > sent.start_by:  # and the loop is late
+                self._overdue(found, ident, sent)
+            elif link.has_room(ident):
                 del found.waiting[ident]
                 self.deadlines.cancel(sent.bound)
                 self._put(link, ident, sent, data)
