--- a/tests/test_shelf_endings.py
+++ b/tests/test_shelf_endings.py
@@ -98,12 +98,13 @@
             "hurried": lambda _: self.engine.hurry(),
             "overdue": lambda _: self.engine._overdue(self.engine.requests.numbers()[0]),
         }
+        ran = self.engine.router.effects.ran
         for how, end in ends.items():
             door = self.rig.deafen("origin")  # where keyed requests go straight
             client = yield self.rig.client(3, FastCgiClient)
             keyed = PARAMS | {"SCRIPT_NAME": "/do/keyed", "HTTP_X_TXN_KEY": "0" * 32}
             client.transport.write(asked(params=keyed))
-            origin, ran = self.pool.shelves["origin"], self.engine.router.effects.ran
+            origin = self.pool.shelves["origin"]
             yield self.rig.until(lambda origin=origin: origin.waiting and ran)
             end(client.transport)
             yield self.rig.until(lambda origin=origin: not origin.waiting)
