Take a copy for current only where the shelf names it; wait for an answer by the site's flow

Causes: net/shelves.py passed on KEEP whatever copy it named, also none, so that a spoilt answer called a client's copy current that no shelf had named: such a request is lost. `PART_MS`, 500 ms for the rest of an answer that has begun, came from one site's links; at the 310,000 bytes a second that DEPLOY shows the largest answer takes 774 ms, and its connection was closed under it: starved by size. Service.take changed the pool before the decisions, so what a drain ended as skipped was decided anew by the old list.

Changes: KEEP has to name the client's tag; the wait is 500 ms and the time of the largest answer at the configuration's `flow_bytes_per_s`; the decisions hear a list first.

Tests: two rows of the words' table; the other two have none of their own. 433 tests pass.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -59,9 +59,11 @@
             (b"KEEP", b""),
         ]
         ends = ["DONE", "MISS", "BUSY", "ERROR", "SKIPPED", "ERROR"]  # the client of the last one has no copy
+        words += [(b"KEEP", b""), (b"KEEP", b"x")]  # naming no copy, and naming the client's own: t1
+        ends += ["ERROR", "DONE"]
         for number, (word, end) in enumerate(zip(words, ends, strict=True)):
             self.rig.script = [word]
-            self.send(number, f"t{number}")
+            self.send(number, f"t{number}", have="t1" if number > 5 else "")
             yield self.rig.until(lambda number=number: len(self.told) > number)
             self.assertEqual(self.told[number][:2], (number, api.Status[end]))
 
--- a/thornjunction/net/shelf_link.py
+++ b/thornjunction/net/shelf_link.py
@@ -25,7 +25,7 @@
 from thornjunction.net.wire.resp import MAX_BULK, ArrayReader
 
 WORN = 256  # idents given up on a connection, past which it gets no more
-PART_MS = 500.0  # for the rest of an answer that has begun; the largest takes 65 ms on the slowest link
+PART_MS = 500.0  # for the rest of an answer that has begun, past the time that its bytes take
 IDLE_SHARE = 0.8  # of the platform's idle time: we close first, so that no request crosses a close
 LINGER_MS = 500.0  # for the shelf to close its side after ours: a round trip, on the slowest path
 HELD_MS = 80.0  # for bytes of what was given up to go out: what begins 100 ms later is a break
@@ -41,6 +41,7 @@
     dial_ms: float
     idle_ms: float
     connections: int  # to all shelfs together
+    part_ms: float = PART_MS  # for the rest of an answer that has begun
 
 
 @dataclass(slots=True, eq=False)
@@ -117,7 +118,7 @@
     def _in_part(self) -> None:
         if self.part is None:
             # Guards against a false length that swallows the answers behind it, and one that stops short.
-            when = self.pool.clock() + PART_MS
+            when = self.pool.clock() + self.pool.limits.part_ms
             self.part = self.pool.deadlines.add(when, lambda: self.close("part-answer"))
         self.pool.budget.hold(self.close, self.reader.held)
 
--- a/thornjunction/net/shelves.py
+++ b/thornjunction/net/shelves.py
@@ -311,7 +311,8 @@
         if status is api.Status.DONE:
             same = answer.word is shelf.Word.KEEP
             content = Content(answer.body, answer.fields.get("rev", ""), same)
-            if same and not sent.order.call.have:  # "your copy holds" to a client that has none
+            # Guards against "your copy holds" to a client that has none, or has another than the one named.
+            if same and (not sent.order.call.have or content.tag != sent.order.call.have):
                 status, content = api.Status.ERROR, None
         self._end(link.name, sent, status, content, report)
 
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -9,9 +9,10 @@
 from typing import Any
 
 from thornjunction import interface as api
-from thornjunction.net.shelves import Limits
+from thornjunction.net.shelf_link import PART_MS, Limits
 from thornjunction.net.wire import ProtocolError
 from thornjunction.net.wire.commands import Commands, parse_address, read_commands
+from thornjunction.net.wire.resp import MAX_BULK
 from thornjunction.settings import Params, WireError, parse_json, read_roles, read_settings
 
 LEAST_SOCKETS = 3  # a third for clients, one for shelfs, one for the channel and the program's own
@@ -71,7 +72,7 @@
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: {sockets} is too few, {LEAST_SOCKETS} at least")
     settings = _settings(params)
-    allowed = params.below("allowed")
+    allowed, flow = params.below("allowed"), top.number("flow_bytes_per_s", 0.0)
     door = environ.get("PROXY_ADMIN_ADDR") or top.get("admin_addr", str, "")
     return Config(
         name=environ.get("PROXY_NAME") or top.get("name", str),
@@ -89,6 +90,7 @@
             dial_ms=allowed.number("dialTimeoutMs", 400.0),
             idle_ms=allowed.number("connIdleMs", 15_000.0),
             connections=sockets // 3,
+            part_ms=PART_MS + 1000.0 * MAX_BULK / flow if flow else PART_MS,
         ),
         longest_ms=max(kind.give_up_ms for kind in settings.classes),
         operators=address_of("admin_addr", door) if door else None,
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -199,10 +199,10 @@
     def take(self, command: Command) -> None:
         """An event of the command channel, on the core's clock."""
         if isinstance(command, ListChange):
-            self.pool.update(command.hosts, command.whole)
             entries = tuple(self._entry(host) for host in command.hosts)
             self.births.keep(command.hosts, command.whole)
             self.engine.feed(api.Servers(entries, command.whole))
+            self.pool.update(command.hosts, command.whole)  # what waited there is decided again by this list
         else:
             age = max(core_ms() - unix_to_core(command.when_ms), 0.0)
             self.engine.feed(api.Purged(command.group, age, command.key))
