--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -55,6 +55,7 @@
         self.now, self.events, self.steps = 0.0, [], []  # type: ignore[var-annotated]
         self.sent: list[Order] = []
         self.given_up: list[int] = []
+        self.waits = False  # attempts, for a connection
         self.answers: list[Answer] = []
         self.deadlines, self.counters = Deadlines(), Counters(classes={"films"})
         self.engine = Engine(self, 2, lambda: self.now, self.deadlines, self, self.counters)
@@ -67,7 +68,7 @@
         self.sent.append(order)
 
     def withdraw(self, number: int) -> bool:
-        return False
+        return self.waits
 
     def give_up(self, number: int) -> None:
         self.given_up.append(number)
@@ -97,6 +98,15 @@
     assert isinstance(script.events[-1], api.Outcome) and script.events[-1].final
 
 
+def test_an_attempt_called_back_while_it_waits_never_ran() -> None:
+    script = Script()
+    number, script.waits, script.steps = script.open(), True, [[api.Cancel("0", 0)]]
+    script.engine.feed(api.TimerFired(1))
+    script.pass_time(500.0)
+    assert [e.status for e in script.events if isinstance(e, api.Outcome)] == [api.Status.SKIPPED]
+    assert number == 0 and script.given_up == []
+
+
 def test_a_time_out_gives_up_and_is_told_once() -> None:
     script = Script()
     number = script.open()
