Learn sizes from answers where requests tell none

Cause: where the settings' deployment tells no sizes, policy/router.py took every request for 1 KB (`sizes.get(1.0)`, then its own default again), so that no request's aim grew by its sending time: on the other customer's site the aim of its larger class is 600 ms and 1.6 times some 400 ms, and answers counted as late at 600.

Test: fails without it.

--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -61,3 +61,13 @@
         bench.wait(700.0)
         bench.answer(slow)
     assert bench.router.copies.share < 0.5
+
+
+def test_where_requests_tell_no_size_answers_teach_it() -> None:
+    """Else all seem to take no time at all, and are late as soon as the bare aim has passed."""
+    bench = Bench()
+    for key in range(30):
+        bench.answer(fetch_of(bench.ask(key, size_kb=0.0)), size_kb=2000.0)
+    bench.ask(99, size_kb=0.0)
+    job = bench.router.jobs[str(bench.asked)]
+    assert job.work == 400.0 and job.aim == 500.0 + 1.6 * 400.0
--- a/thornjunction/core/engine.py
+++ b/thornjunction/core/engine.py
@@ -5,7 +5,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from thornjunction import interface as api
@@ -80,6 +80,7 @@
         self._events: deque[api.Event] = deque()
         self._busy = False
         self.ends_at = math.inf  # when this process has to be done
+        self.kb_per_byte = 0.0  # of an answer, as the settings count sizes; 0: not told
 
     def open(self, call: Call, reply: Reply) -> int | None:
         """Take a request on; its number, or None where no slot is free and nothing was taken."""
@@ -142,7 +143,9 @@
         if status is api.Status.DONE and content is not None:
             request = self._finish(int(out.request), Served(content))
         final = self.requests.get(int(out.request)) is None
-        self.feed(api.Outcome(out.request, out.attempt, out.server, status, took, final=final, report=report))
+        size = len(content.body) * self.kb_per_byte if content is not None else 0.0
+        end = api.Outcome(out.request, out.attempt, out.server, status, took, final=final, report=report)
+        self.feed(replace(end, size_kb=size) if size else end)
         self._withdraw(int(out.request), request)  # after it, or the router learns from the copies first
 
     def probed(self, server: str, status: api.Status, took_ms: float, report: api.Report | None) -> None:
--- a/thornjunction/interface.py
+++ b/thornjunction/interface.py
@@ -201,6 +201,7 @@
     source_wait_ms: float | None = None  # start of the fill's last try to its first byte or failure
     final: bool = False
     report: Report | None = None
+    size_kb: float = 0.0  # of what was served, where its bytes tell; 0: not told
 
 
 @dataclass(frozen=True, slots=True)
--- a/thornjunction/policy/router.py
+++ b/thornjunction/policy/router.py
@@ -92,8 +92,8 @@
         if kind is None or event.request in self.jobs:
             return None if kind is not None else self.actions.append(self.refusal(event.request))
         size = event.size_kb if 0 < event.size_kb < math.inf else self.sizes[kind.name].get(1.0)
-        self.sizes[kind.name].add(size)
-        self.size.add(size / self.flow)
+        if event.size_kb > 0:
+            self.sized(kind, size)
         mean = self.sizes[kind.name].get(size) / self.flow
         job = self.jobs[event.request] = Job(event, kind, size / self.flow, mean, self.now)
         job.weights, self.asked = [w / self.size.get(w) for w in (job.work, mean)], self.asked + mean
@@ -105,6 +105,11 @@
         self.actions.append(api.SetTimer(max(job.deadline - self.now, 0.0), self.next_token))
         self.dispatch(job)
 
+    def sized(self, kind: api.RequestClass, size: float) -> None:
+        """A request's size is known: told with it, or else by what answered it."""
+        self.sizes.setdefault(kind.name, Mean(SLOW_GAIN)).add(size)
+        self.size.add(size / self.flow)
+
     def on_outcome(self, event: api.Outcome) -> None:
         attempt, job = self.flying.pop((event.request, event.attempt), None), self.jobs.get(event.request)
         if attempt is None:
@@ -242,6 +247,8 @@
         elif status is not api.Status.BUSY:  # full is not ill: it only sends this request on
             server.record(status in (api.Status.DONE, api.Status.MISS) or at_source, self.now, refused)
         good, server.down = status is api.Status.DONE, refused
+        if event.size_kb > 0 and not job.event.size_kb > 0:
+            self.sized(job.kind, event.size_kb)
         server.heard = server.heard if refused or status is api.Status.TIMEOUT else self.now
         while good and job.faults:  # so the request can be used, and who answered with an error is to blame
             if (other := job.faults.pop()) is not server:
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -39,6 +39,7 @@
     roles: Mapping[str, api.Role]
     shelves: Limits
     longest_ms: float  # the longest that any client waits
+    flow_bytes_per_ms: float  # of one transfer, as ``settings.flow_kb_per_ms`` counts it; 0: not told
     operators: tuple[str, int] | None = None  # where the operators' door listens
     socket_fd: int | None = None  # the clients' listening socket, where the platform holds it
     shared_folder: str = ""  # what the process before this one could leave for it, where it does
@@ -92,6 +93,7 @@
             connections=sockets // 3,
             part_ms=PART_MS + 1000.0 * MAX_BULK / flow if flow else PART_MS,
         ),
+        flow_bytes_per_ms=flow / 1000.0,
         longest_ms=max(kind.give_up_ms for kind in settings.classes),
         operators=address_of("admin_addr", door) if door else None,
         socket_fd=_descriptor("PROXY_SOCKET_FD", environ),
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -246,6 +246,8 @@
     def _settle(self, settings: api.Settings) -> None:
         """What is drawn from the settings outside the decisions; what is open keeps what it came under."""
         self.engine.max_attempts = settings.max_attempts
+        flow = self.config.flow_bytes_per_ms
+        self.engine.kb_per_byte = settings.flow_kb_per_ms / flow if flow > 0 else 0.0
         self.classes.clear()
         self.classes |= {kind.name: kind for kind in settings.classes}
         self.counters.classes |= self.classes.keys()
