Blame late answers by reported load; without parents, ask other caches when the origin strains

Without parents, the held_only request of send() went to the origin, which has all: its gate spared it nothing. Misses behind a shut gate were refused though other caches, which the settings allow as sources, held the object, and the grace of a class was not read.

Now reports decide whose a late answer is (limits/blame.py); while a gate is shut and no parent is listed, up to two other caches are asked for what they hold, copies within the grace do, and a miss there never ran. The ordinary path stays: the origin where there are no parents.

--- a/thornjunction/estimates.py
+++ b/thornjunction/estimates.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import math
+from bisect import bisect_left, bisect_right, insort
+from collections import deque
 from dataclasses import dataclass
 
 FAST_GAIN, SLOW_GAIN = 0.1, 0.01  # of a sample in means: the last ten, hundred
+SCORES = 512  # kept to compare a new one with
 COPIED = 0.05  # of requests that get a copy: the quantile
 STEP, LEAST = 0.02, 0.2  # of the aim
 
@@ -17,6 +21,12 @@
     return value ^ (value >> 31)
 
 
+def rendezvous(value: int, salt: int, weight: float) -> float:
+    """A server's score for an object, by weight: the highest is its own (rendezvous hashing)."""
+    share = ((mix(value ^ salt) >> 11) + 0.5) / (1 << 53)
+    return -max(weight, 1e-9) / math.log(share)
+
+
 @dataclass(slots=True)
 class Mean:
     """A smoothed mean; None until something was seen."""
@@ -39,3 +49,21 @@
 
     def add(self, over: bool) -> None:
         self.share = min(max(self.share + STEP * (over - COPIED), LEAST), 1.0)
+
+
+class Recent:
+    """The last scores, in order."""
+
+    def __init__(self) -> None:
+        self.recent: deque[float] = deque()
+        self.ordered: list[float] = []
+
+    def place(self, score: float) -> float:
+        """Where a new score stands among them: 0 below all, 1 above all."""
+        place = (bisect_left(self.ordered, score) + bisect_right(self.ordered, score)) / 2
+        share = place / len(self.ordered) if self.ordered else 0.5
+        self.recent.append(score)
+        insort(self.ordered, score)
+        if len(self.recent) > SCORES:
+            del self.ordered[bisect_left(self.ordered, self.recent.popleft())]
+        return share
--- a/thornjunction/interface.py
+++ b/thornjunction/interface.py
@@ -106,6 +106,7 @@
     group: Group = Group.ALL  # keyed classes only
     memory_ms: float = 0.0  # keyed classes only: how long repeats are discarded
     fresh_ms: float = 0.0  # 0: a copy is good until it is purged
+    grace_ms: float = 0.0  # how much older than fresh a copy may be where that is asked for
     passes: bool = False  # never kept; runs at the origin
 
 
--- a/thornjunction/limits/effects.py
+++ b/thornjunction/limits/effects.py
@@ -10,6 +10,7 @@
 
 Ran = tuple[float, api.ServerEntry]  # when and where; all that is kept by key: a job takes 1 KB
 
+NEVER_RAN = {api.Status.BUSY, api.Status.REFUSED, api.Status.SKIPPED, api.Status.MISS}
 LEAST_START = 25.0  # ms for a connection at least; each limit has 50 ms of slack on sockets
 
 
@@ -20,6 +21,15 @@
     return ran[0] + kind.memory_ms - now if kind.safety is api.Safety.KEYED else -math.inf
 
 
+def discarded(kind: api.RequestClass, ran: Ran | None, entry: api.ServerEntry, left_ms: float) -> bool:
+    """Whether a repeat sent to this server does no harm: what may have run is discarded there, and is so for
+    longer than ``left_ms``."""
+    if ran is None or kind.safety is api.Safety.SAFE:
+        return True
+    near = ran[1].zone == entry.zone if kind.group is api.Group.ZONE else ran[1].cell == entry.cell
+    return left_ms > 0 and (near or kind.group is api.Group.ALL)
+
+
 def start_ms(settings: api.Settings, left_ms: float) -> float:
     """How long an attempt may wait for its connection.  It was decided before what may be told meanwhile, a
     drain or a purge; so it has to begin before that binds.  A repeat has its window: ``left_ms``."""
--- a/thornjunction/limits/purges.py
+++ b/thornjunction/limits/purges.py
@@ -23,11 +23,12 @@
         if len(self.when) > PURGES:
             self.all = max(self.all, self.when.pop(next(iter(self.when))))
 
-    def max_age(self, event: api.Request, fresh_ms: float, now: float) -> float:
-        """Rule 5: until all caches have dropped what was purged, only younger copies will do."""
+    def max_age(self, event: api.Request, fresh_ms: float, now: float, grace_ms: float = 0.0) -> float:
+        """Rule 5: until all caches have dropped what was purged, only younger copies will do; else those of
+        the class's fresh time (0), and older by ``grace_ms`` where that is asked for."""
         names = ("key", event.key), ("group", event.group)
         when = max(self.all, *(self.when.get(name, -math.inf) for name in names))
         if now > when + self.takes_ms:
-            return 0.0
+            return fresh_ms + grace_ms if fresh_ms > 0 and grace_ms > 0 else 0.0
         bound = max(now - when - 1.0, 1.0)  # 1 ms: what the wire and the caches may round
-        return min(bound, fresh_ms) if fresh_ms > 0 else bound
+        return min(bound, fresh_ms + grace_ms) if fresh_ms > 0 else bound
--- a/thornjunction/policy/placement.py
+++ b/thornjunction/policy/placement.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import math
+import zlib
 from collections.abc import Callable, Iterable
 
 from thornjunction import interface as api
-from thornjunction.estimates import Mean, mix
+from thornjunction.estimates import Mean, mix, rendezvous
 from thornjunction.limits.cold import ColdBudgets
-from thornjunction.limits.effects import window_left
+from thornjunction.limits.effects import discarded, window_left
 from thornjunction.policy.attempts import MARGIN, Job, Server
 
 ORDERS = 8192  # preferences kept at most
@@ -23,7 +24,8 @@
         self.settings, self.fetch, self.draw, self.cold = settings, fetch, draw, ColdBudgets(draw)
         self.servers: dict[str, Server] = {}
         self.by_role: dict[api.Role, list[Server]] = {role: [] for role in api.Role}  # edges: of this zone
-        self.orders: dict[tuple[int, api.Role], list[Server]] = {}  # preferences, until the list changes
+        self.caches: dict[str, list[Server]] = {}  # edges by zone
+        self.orders: dict[tuple[int, str], list[Server]] = {}  # preferences, until the list changes
 
     def take(self, event: api.Servers, now: float) -> None:
         """A list, or its changes."""
@@ -38,8 +40,11 @@
                 self.servers[entry.server] = Server(entry, now)
             else:
                 server.entry = entry
-        here = [s for s in self.servers.values() if s.entry.role is not api.Role.EDGE or s.entry.zone == zone]
-        self.by_role = {role: [s for s in here if s.entry.role is role] for role in api.Role}
+        self.by_role = {role: [s for s in self.servers.values() if s.entry.role is role] for role in api.Role}
+        self.caches = {}
+        for cache in self.by_role[api.Role.EDGE]:
+            self.caches.setdefault(cache.entry.zone, []).append(cache)
+        self.by_role[api.Role.EDGE] = self.caches.get(zone, [])
         self.orders.clear()
         self.cold.most = {role: max(most, len(self.by_role[role])) for role, most in self.cold.most.items()}
 
@@ -49,17 +54,16 @@
 
     def preference(self, copy: int, servers: list[Server]) -> list[Server]:
         """Rendezvous order, by weight where it is told: a server that leaves moves its own objects only."""
-        known = self.orders.get((copy, servers[0].entry.role)) if servers else []
+        known = self.orders.get((copy, servers[0].id)) if servers else []
         if known is not None:
             return known
 
         def score(server: Server) -> float:
-            share = ((mix(copy ^ server.salt) >> 11) + 0.5) / (1 << 53)
-            return -(max(server.entry.weight, 1e-9) if self.settings.weighted else 1.0) / math.log(share)
+            return rendezvous(copy, server.salt, server.entry.weight if self.settings.weighted else 1.0)
 
         if len(self.orders) >= ORDERS:
             del self.orders[next(iter(self.orders))]
-        order = self.orders[copy, servers[0].entry.role] = sorted(servers, key=score, reverse=True)
+        order = self.orders[copy, servers[0].id] = sorted(servers, key=score, reverse=True)
         return order
 
     def first_byte(self, parent: Server) -> float:
@@ -76,6 +80,31 @@
         able = [s for s in ordered + origins if s.id not in job.tried and s.open_to(now)]
         return next((s for s in able if self.within_budget(s, job.work, now)), next(iter(origins), None))
 
+    def no_parents(self, source: Server) -> bool:
+        """Whether misses are filled from the origin itself; it has all, so ``held_only`` spares nothing."""
+        return source.entry.role is api.Role.ORIGIN and not self.by_role[api.Role.PARENT]
+
+    def sibling(self, job: Job, target: Server, now: float) -> Server | None:
+        """The cache that is likely to hold it, of each location the first by
+        hash, of the own one the first two.  Near ones first; then by hash, or one would be asked by all."""
+        here, hubs, may = self.settings.zone, self.settings.zone_hub, self.settings.siblings
+        if may is api.Siblings.NONE:
+            return None
+
+        def far(zone: str) -> tuple[bool, bool, int]:
+            return zone != here, hubs.get(zone) != hubs.get(here), mix(job.copy ^ zlib.crc32(zone.encode()))
+
+        zones = sorted(self.caches, key=far) if may is api.Siblings.ANY else [here]
+        for zone in zones:
+            likely = self.preference(job.copy, self.caches.get(zone, []))
+            for cache in likely[: CHOICES if zone == here else 1]:
+                new = cache is not target and cache.id not in job.tried and cache.open_to(now)
+                if (
+                    new and self.cold.rate(cache.entry, cache.bucket, now) == math.inf
+                ):  # cold ones hold little
+                    return cache
+        return None
+
     def cache(self, job: Job, now: float) -> Server | None:
         """The first by hash, bar cold ones past their budget, ejected or tried ones (unless all are) and
         those whose gate is shut.  Where both choices are shut, new ones are refused."""
@@ -88,13 +117,7 @@
 
     def may_resend(self, job: Job, server: Server, now: float) -> bool:
         """Rule 2: what may have run is resent only where and while its repeat is discarded."""
-        if job.maybe is None or job.kind.safety is api.Safety.SAFE:
-            return True
-        if window_left(job.kind, job.maybe, now) <= MARGIN:
-            return False
-        here, there, group = job.maybe[1], server.entry, job.kind.group
-        near = here.zone == there.zone if group is api.Group.ZONE else here.cell == there.cell
-        return near or group is api.Group.ALL
+        return discarded(job.kind, job.maybe, server.entry, window_left(job.kind, job.maybe, now) - MARGIN)
 
     def within_budget(self, server: Server, work: float, now: float, take: bool = False) -> bool:
         return self.cold.within(server.entry, server.bucket, work, now, take)
--- a/thornjunction/policy/ranking.py
+++ b/thornjunction/policy/ranking.py
@@ -3,33 +3,22 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left, bisect_right, insort
-from collections import deque
 from collections.abc import Callable
 
-from thornjunction.estimates import FAST_GAIN, Mean
+from thornjunction.estimates import FAST_GAIN, Mean, Recent
 
 HALF_LIFE, KNOWN = 10_000.0, 0.5  # ms, of request counts (the design's); count that makes a copy likely there
-COPIES, SCORES = 8192, 512  # in tables at most
+COPIES = 8192  # in the table at most
 TOP, BOTTOM = 2 / 3, 1 / 3  # places that part the ranks: three equal shares
 W_START, W_STEP = 0.5, 0.05  # chance of d1 at the start, and its change a second: ten seconds to a limit
 LINK_FULL = 0.85  # strain of the link above
 
 
-class Placer:
+class Placer(Recent):
     """Where a score stands among recent ones of its kind, as a rank."""
 
-    def __init__(self) -> None:
-        self.recent: deque[float] = deque()
-        self.ordered: list[float] = []
-
     def rank(self, score: float) -> int:
-        place = (bisect_left(self.ordered, score) + bisect_right(self.ordered, score)) / 2
-        share = place / len(self.ordered) if self.ordered else 0.5
-        self.recent.append(score)
-        insort(self.ordered, score)
-        if len(self.recent) > SCORES:
-            del self.ordered[bisect_left(self.ordered, self.recent.popleft())]
+        share = self.place(score)
         return 3 if share > TOP else 2 if share > BOTTOM else 1
 
 
--- a/thornjunction/policy/router.py
+++ b/thornjunction/policy/router.py
@@ -11,23 +11,21 @@
 
 from thornjunction import interface as api
 from thornjunction.estimates import SLOW_GAIN, Mean, Usual
-from thornjunction.limits.effects import Effects, start_ms, window_left
+from thornjunction.limits.blame import BROKEN, has_room
+from thornjunction.limits.effects import NEVER_RAN, Effects, start_ms, window_left
 from thornjunction.limits.gates import Gate
 from thornjunction.limits.purges import Purges
 from thornjunction.limits.retries import Retries, wait_ms
-from thornjunction.policy.attempts import MARGIN, Attempt, Job, Server
+from thornjunction.policy.attempts import MARGIN, Attempt, Gates, Job, Server
 from thornjunction.policy.placement import Placement
 from thornjunction.policy.ranking import KNOWN, Ranking
 
 FILLS_LATE, CALM = 0.8, 0.8  # of gates: below, fills are under strain; below, no copy is sent
 TICK, HELD_TRIES, SECOND = 50.0, 10, 1000.0  # ms between looks, at so many held requests; between steps of w
+LOOKS = 2  # at other caches for one request: a third finds little that two did not
 ERRORS = 3  # after which the request is at fault
-PULSE = 0.5  # of the aim: slower answers of what runs at the origin tell of its queue
 FLOW = 5.0  # KB a ms, where it is not told
 
-NEVER_RAN = {api.Status.BUSY, api.Status.REFUSED, api.Status.SKIPPED, api.Status.MISS}
-BROKEN = {api.Note.SOURCE_REFUSED, api.Note.SOURCE_BROKE, api.Note.ORIGIN_FAILED}  # the source's doing
-
 
 class Router:
     """Decides for one front through one life; call ``handle`` with events in the order of their times."""
@@ -43,7 +41,8 @@
         self.timers: dict[int, Job] = {}
         self.flying: dict[tuple[str, int], Attempt] = {}
         self.size = Mean(SLOW_GAIN)  # ms to send
-        self.fills, self.behind, self.copies = Gate(), Gate(), Gate(0.0)  # behind: what the origin is asked
+        self.gates, self.copies = Gates(), Gate(0.0)
+        self.fills, self.behind = self.gates.fills, self.gates.behind
         self.now, self.next_token, self.asked = -math.inf, 0, 0.0
 
     def adopt(self, settings: api.Settings) -> None:
@@ -125,7 +124,10 @@
         if job.out:  # its end decides
             return
         if event.status is api.Status.MISS and not job.kind.passes:  # no more was asked than what is held
-            return self.give_up(job)
+            if attempt.source is None or attempt.source.entry.role is not api.Role.EDGE or job.looks >= LOOKS:
+                return self.give_up(job)
+            job.tried.add(attempt.source.id)  # it never ran; another cache may hold it
+            return self.dispatch(job)
         job.maybe = job.maybe or (None if event.status in NEVER_RAN else attempt.ran)
         at_source, lost = event.note in BROKEN, event.status in (api.Status.RESET, api.Status.ERROR)
         if attempt.source is not None and (at_source or not lost or self.blind):
@@ -145,7 +147,7 @@
         for request in due[:HELD_TRIES]:  # who cannot go yet queues again: none blocks the rest
             self.dispatch(self.held.pop(request))
         for attempt in self.flying.values():
-            self.judge(attempt, self.now - attempt.sent, api.Note.NONE, done=False)
+            self.gates.judge(attempt, self.now - attempt.sent, api.Note.NONE, False, self.now, self.blind)
         for server in dict.fromkeys(attempt.server for attempt in self.flying.values()):
             self.watch(server)
         for job in [out.job for out in self.flying.values() if self.overdue(out)]:
@@ -162,7 +164,7 @@
     def dispatch(self, job: Job) -> None:
         """Send the next attempt, or hold the request, or end it."""
         job.maybe = job.maybe or self.effects.ran.get(job.effect)  # another try of its client may have run
-        spent = job.attempts >= job.most or (job.attempts > 0 and not self.retries.any())
+        spent = job.attempts >= job.most or (job.attempts > job.looks and not self.retries.any())
         spent = spent or not self.effects.may_note(job.effect, self.now)
         if self.now >= job.deadline or spent:
             return self.give_up(job)
@@ -191,13 +193,20 @@
         return heard and min(self.fills.share, self.behind.share, attempt.server.gate.share) >= CALM
 
     def send(self, job: Job, server: Server, source: Server | None) -> None:
-        self.retries.spend(job.attempts > 0)
+        self.retries.spend(job.attempts > job.looks)
         # To the end: fills that are called off are fetched again and feed a jam.  ``watch`` sees to silence.
         passes, left = job.kind.passes, job.deadline - self.now
         # Beyond the fills' gate a cache gives only what it holds, beyond the origin's a parent: they know
         # what one of many fronts cannot.  Misses are refused.  Harm: where the cause has just passed.
-        held_only = not passes and not self.behind.lets(self.now, self.random.random)
-        source = source if passes or self.fills.lets(self.now, self.random.random, job.weight) else None
+        held_only = not passes and (job.held or not self.behind.lets(self.now, self.random.random))
+        fills = passes or self.fills.lets(self.now, self.random.random, job.weight)
+        if (held_only or not fills) and source is not None and self.places.no_parents(source):
+            look = job.looks < LOOKS and (fills or has_room(server.busy, self.ranking.link.value))
+            source = self.places.sibling(job, server, self.now) if look else None
+            job.held = held_only = held_only or source is not None
+            job.looks += source is not None
+        elif not fills:
+            source = None
         key, ran = (job.id, job.attempts), (self.now, server.entry)
         attempt = Attempt(server, source, self.now, job, key[1], ran, held_only=held_only)
         self.flying[key] = server.out[key] = attempt
@@ -209,7 +218,8 @@
             if asked is not None:
                 self.places.within_budget(asked, work, self.now, take=True)
         rank = 0 if passes else self.ranking.rank(job.copy, job.work, self.now)
-        age = self.purges.max_age(job.event, job.kind.fresh_ms, self.now)
+        grace = job.kind.grace_ms if not passes and (held_only or source is None) else 0.0
+        age = self.purges.max_age(job.event, job.kind.fresh_ms, self.now, grace)
         join, renew = self.settings.may_join and not passes, job.kind.fresh_ms > 0
         start = start_ms(self.settings, window_left(job.kind, job.maybe, self.now) - MARGIN)
         how = rank, age, join, renew, held_only, start
@@ -231,6 +241,7 @@
         server, source, status, job = attempt.server, attempt.source, event.status, attempt.job
         if server.entry.role is api.Role.EDGE and event.report is not None and event.report.link is not None:
             self.ranking.link.add(event.report.link)
+        server.told(event.report)
         if status in (api.Status.CANCELLED, api.Status.SKIPPED):
             return
         at_source = event.note in BROKEN or (self.blind and status is api.Status.BUSY)
@@ -251,7 +262,8 @@
         if event.note in (api.Note.FILLED_FROM_ORIGIN, api.Note.ORIGIN_FAILED):
             self.behind.answer(not good or event.took_ms > job.aim, self.now)
         if good or at_source:
-            self.judge(attempt, event.took_ms if good else math.inf, event.note, done=True)
+            took = event.took_ms if good else math.inf
+            self.gates.judge(attempt, took, event.note, True, self.now, self.blind)
         filled = (self.blind and good and job.miss) or event.note in (
             api.Note.FILLED,
             api.Note.FILLED_FROM_ORIGIN,
@@ -265,23 +277,6 @@
         source.first_byte.add(wait)
         self.ranking.filled(job.copy, wait)
 
-    def judge(self, attempt: Attempt, took: float, note: api.Note, done: bool) -> None:
-        """In time or late, once for each attempt: late as soon as its aim has passed."""
-        job = attempt.job
-        late = took > job.aim * (PULSE if job.kind.passes else 1.0)
-        if attempt.late or not (done or late):
-            return
-        attempt.late = True
-        hit = not job.miss if note is api.Note.NONE else note is api.Note.HIT
-        gate = attempt.server.gate if hit or attempt.source is None else self.fills
-        # Where answers do not tell, the origin is among the suspects of each fill, unless only what its
-        # parent holds was asked for; it is the one to blame for a refusal.
-        if job.kind.passes or (self.blind and gate is self.fills and not attempt.held_only):
-            self.behind.answer(late, self.now)
-            if job.kind.passes or took == math.inf:
-                return
-        gate.answer(late, self.now)
-
     def close(self, job: Job) -> None:
         """Forget a request; an attempt that is still out is called off where that saves work."""
         del self.jobs[job.id]
--- a/thornjunction/settings.py
+++ b/thornjunction/settings.py
@@ -77,6 +77,7 @@
         group=params.choice("group", api.Group, "all"),
         memory_ms=params.number("memorySpanMs", 0.0),
         fresh_ms=float(by_class("classFreshMs", 0.0)),
+        grace_ms=float(by_class("staleForMs", 0.0)) if by_class("staleEarns", 0.0) > 0 else 0.0,
         passes=bool(by_class("passOn", False)),
     )
 
