--- a/thornjunction/policy/router.py
+++ b/thornjunction/policy/router.py
@@ -10,30 +10,28 @@
 import random
 
 from thornjunction import interface as api
-from thornjunction.estimates import SLOW_GAIN, Mean, Usual
-from thornjunction.limits.effects import Effects, start_ms, window_left
+from thornjunction.estimates import Sizes, Usual
+from thornjunction.limits.blame import BROKEN, has_room
+from thornjunction.limits.effects import NEVER_RAN, Effects, start_ms, window_left
 from thornjunction.limits.gates import Gate
 from thornjunction.limits.purges import Purges
 from thornjunction.limits.retries import Retries, wait_ms
-from thornjunction.policy.attempts import MARGIN, Attempt, Job, Server
+from thornjunction.policy.attempts import MARGIN, Attempt, Gates, Job, Server
 from thornjunction.policy.placement import Placement
 from thornjunction.policy.ranking import KNOWN, Ranking
 
 FILLS_LATE, CALM = 0.8, 0.8  # of gates: below, fills are under strain; below, no copy is sent
 TICK, HELD_TRIES, SECOND = 50.0, 10, 1000.0  # ms between looks, at so many held requests; between steps of w
+LOOKS = 2  # at other caches for one request: a third finds little that two did not
 ERRORS = 3  # after which the request is at fault
-PULSE = 0.5  # of the aim: slower answers of what runs at the origin tell of its queue
 FLOW = 5.0  # KB a ms, where it is not told
 
-NEVER_RAN = {api.Status.BUSY, api.Status.REFUSED, api.Status.SKIPPED, api.Status.MISS}
-BROKEN = {api.Note.SOURCE_REFUSED, api.Note.SOURCE_BROKE, api.Note.ORIGIN_FAILED}  # the source's doing
-
 
 class Router:
     """Decides for one front through one life; call ``handle`` with events in the order of their times."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.random, self.usual, self.sizes = random.Random(seed), dict[str, Usual](), dict[str, Mean]()
+        self.random, self.usual, self.sizes = random.Random(seed), dict[str, Usual](), Sizes()
         self.retries, self.effects, self.purges = Retries(settings.instances), Effects(), Purges()
         self.ranking = Ranking(self.random.random)
         self.places = Placement(settings, self.ranking.fetch, self.random.random)
@@ -42,8 +40,8 @@
         self.held: dict[str, Job] = {}  # those of them that wait for a cache that may take them
         self.timers: dict[int, Job] = {}
         self.flying: dict[tuple[str, int], Attempt] = {}
-        self.size = Mean(SLOW_GAIN)  # ms to send
-        self.fills, self.behind, self.copies = Gate(), Gate(), Gate(0.0)  # behind: what the origin is asked
+        self.gates, self.copies = Gates(), Gate(0.0)
+        self.fills, self.behind = self.gates.fills, self.gates.behind
         self.now, self.next_token, self.asked = -math.inf, 0, 0.0
 
     def adopt(self, settings: api.Settings) -> None:
@@ -55,7 +53,7 @@
         self.places.cold.adopt(settings)
         self.classes = {kind.name: kind for kind in settings.classes}
         self.usual = {name: self.usual.get(name, Usual()) for name in self.classes}
-        self.sizes = {name: self.sizes.get(name, Mean(SLOW_GAIN)) for name in self.classes}
+        self.sizes.keep(self.classes)
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Take in one event at its time; the actions to carry out, in order."""
@@ -91,12 +89,9 @@
         kind = self.classes.get(event.class_name)
         if kind is None or event.request in self.jobs:
             return None if kind is not None else self.actions.append(self.refusal(event.request))
-        size = event.size_kb if 0 < event.size_kb < math.inf else self.sizes[kind.name].get(1.0)
-        if event.size_kb > 0:
-            self.sized(kind, size)
-        mean = self.sizes[kind.name].get(size) / self.flow
-        job = self.jobs[event.request] = Job(event, kind, size / self.flow, mean, self.now)
-        job.weights, self.asked = [w / self.size.get(w) for w in (job.work, mean)], self.asked + mean
+        size, mean = self.sizes.take(kind.name, event.size_kb)
+        job = self.jobs[event.request] = Job(event, kind, size / self.flow, mean / self.flow, self.now)
+        job.weights, self.asked = self.sizes.weights(size, mean), self.asked + job.mean
         job.usual, job.most = self.usual[kind.name], self.settings.max_attempts
         self.retries.earn()
         job.miss = self.ranking.count(job.copy, self.now) < KNOWN and not kind.passes
@@ -105,11 +100,6 @@
         self.actions.append(api.SetTimer(max(job.deadline - self.now, 0.0), self.next_token))
         self.dispatch(job)
 
-    def sized(self, kind: api.RequestClass, size: float) -> None:
-        """A request's size is known: told with it, or else by what answered it."""
-        self.sizes.setdefault(kind.name, Mean(SLOW_GAIN)).add(size)
-        self.size.add(size / self.flow)
-
     def on_outcome(self, event: api.Outcome) -> None:
         attempt, job = self.flying.pop((event.request, event.attempt), None), self.jobs.get(event.request)
         if attempt is None:
@@ -130,7 +120,10 @@
         if job.out:  # its end decides
             return
         if event.status is api.Status.MISS and not job.kind.passes:  # no more was asked than what is held
-            return self.give_up(job)
+            if attempt.source is None or attempt.source.entry.role is not api.Role.EDGE or job.looks >= LOOKS:
+                return self.give_up(job)
+            job.tried.add(attempt.source.id)  # it never ran; another cache may hold it
+            return self.dispatch(job)
         job.maybe = job.maybe or (None if event.status in NEVER_RAN else attempt.ran)
         at_source, lost = event.note in BROKEN, event.status in (api.Status.RESET, api.Status.ERROR)
         if attempt.source is not None and (at_source or not lost or self.blind):
@@ -150,7 +143,7 @@
         for request in due[:HELD_TRIES]:  # who cannot go yet queues again: none blocks the rest
             self.dispatch(self.held.pop(request))
         for attempt in self.flying.values():
-            self.judge(attempt, self.now - attempt.sent, api.Note.NONE, done=False)
+            self.gates.judge(attempt, self.now - attempt.sent, api.Note.NONE, False, self.now, self.blind)
         for server in dict.fromkeys(attempt.server for attempt in self.flying.values()):
             self.watch(server)
         for job in [out.job for out in self.flying.values() if self.overdue(out)]:
@@ -167,7 +160,7 @@
     def dispatch(self, job: Job) -> None:
         """Send the next attempt, or hold the request, or end it."""
         job.maybe = job.maybe or self.effects.ran.get(job.effect)  # another try of its client may have run
-        spent = job.attempts >= job.most or (job.attempts > 0 and not self.retries.any())
+        spent = job.attempts >= job.most or (job.attempts > job.looks and not self.retries.any())
         spent = spent or not self.effects.may_note(job.effect, self.now)
         if self.now >= job.deadline or spent:
             return self.give_up(job)
@@ -196,13 +189,20 @@
         return heard and min(self.fills.share, self.behind.share, attempt.server.gate.share) >= CALM
 
     def send(self, job: Job, server: Server, source: Server | None) -> None:
-        self.retries.spend(job.attempts > 0)
+        self.retries.spend(job.attempts > job.looks)
         # To the end: fills that are called off are fetched again and feed a jam.  ``watch`` sees to silence.
         passes, left = job.kind.passes, job.deadline - self.now
         # Beyond the fills' gate a cache gives only what it holds, beyond the origin's a parent: they know
         # what one of many fronts cannot.  Misses are refused.  Harm: where the cause has just passed.
-        held_only = not passes and not self.behind.lets(self.now, self.random.random)
-        source = source if passes or self.fills.lets(self.now, self.random.random, *job.weights) else None
+        held_only = not passes and (job.held or not self.behind.lets(self.now, self.random.random))
+        fills = passes or self.fills.lets(self.now, self.random.random, *job.weights)
+        if (held_only or not fills) and source is not None and self.places.no_parents(source):
+            look = job.looks < LOOKS and (fills or has_room(server.busy, self.ranking.link.value))
+            source = self.places.sibling(job, server, self.now) if look else None
+            job.held = held_only = held_only or source is not None
+            job.looks += source is not None
+        elif not fills:
+            source = None
         key, ran = (job.id, job.attempts), (self.now, server.entry)
         attempt = Attempt(server, source, self.now, job, key[1], ran, held_only=held_only)
         self.flying[key] = server.out[key] = attempt
@@ -214,7 +214,8 @@
             if asked is not None:
                 self.places.within_budget(asked, work, self.now, take=True)
         rank = 0 if passes else self.ranking.rank(job.copy, job.work, self.now)
-        age = self.purges.max_age(job.event, job.kind.fresh_ms, self.now)
+        grace = job.kind.grace_ms if not passes and (held_only or source is None) else 0.0
+        age = self.purges.max_age(job.event, job.kind.fresh_ms, self.now, grace)
         join, renew = self.settings.may_join and not passes, job.kind.fresh_ms > 0
         start = start_ms(self.settings, window_left(job.kind, job.maybe, self.now) - MARGIN)
         how = rank, age, join, renew, held_only, start
@@ -236,6 +237,7 @@
         server, source, status, job = attempt.server, attempt.source, event.status, attempt.job
         if server.entry.role is api.Role.EDGE and event.report is not None and event.report.link is not None:
             self.ranking.link.add(event.report.link)
+        server.told(event.report)
         if status in (api.Status.CANCELLED, api.Status.SKIPPED):
             return
         at_source = event.note in BROKEN or (self.blind and status is api.Status.BUSY)
@@ -248,7 +250,7 @@
             server.record(status in (api.Status.DONE, api.Status.MISS) or at_source, self.now, refused)
         good, server.down = status is api.Status.DONE, refused
         if event.size_kb > 0 and not job.event.size_kb > 0:
-            self.sized(job.kind, event.size_kb)
+            self.sizes.add(job.kind.name, event.size_kb)
         server.heard = server.heard if refused or status is api.Status.TIMEOUT else self.now
         while good and job.faults:  # so the request can be used, and who answered with an error is to blame
             if (other := job.faults.pop()) is not server:
@@ -258,7 +260,8 @@
         if event.note in (api.Note.FILLED_FROM_ORIGIN, api.Note.ORIGIN_FAILED):
             self.behind.answer(not good or event.took_ms > job.aim, self.now)
         if good or at_source:
-            self.judge(attempt, event.took_ms if good else math.inf, event.note, done=True)
+            took = event.took_ms if good else math.inf
+            self.gates.judge(attempt, took, event.note, True, self.now, self.blind)
         filled = (self.blind and good and job.miss) or event.note in (
             api.Note.FILLED,
             api.Note.FILLED_FROM_ORIGIN,
@@ -272,23 +275,6 @@
         source.first_byte.add(wait)
         self.ranking.filled(job.copy, wait)
 
-    def judge(self, attempt: Attempt, took: float, note: api.Note, done: bool) -> None:
-        """In time or late, once for each attempt: late as soon as its aim has passed."""
-        job = attempt.job
-        late = took > job.aim * (PULSE if job.kind.passes else 1.0)
-        if attempt.late or not (done or late):
-            return
-        attempt.late = True
-        hit = not job.miss if note is api.Note.NONE else note is api.Note.HIT
-        gate = attempt.server.gate if hit or attempt.source is None else self.fills
-        # Where answers do not tell, the origin is among the suspects of each fill, unless only what its
-        # parent holds was asked for; it is the one to blame for a refusal.
-        if job.kind.passes or (self.blind and gate is self.fills and not attempt.held_only):
-            self.behind.answer(late, self.now)
-            if job.kind.passes or took == math.inf:
-                return
-        gate.answer(late, self.now)
-
     def close(self, job: Job) -> None:
         """Forget a request; an attempt that is still out is called off where that saves work."""
         del self.jobs[job.id]
--- a/thornjunction/settings.py
+++ b/thornjunction/settings.py
@@ -78,7 +78,12 @@
     """One class of requests."""
     params = Params(data, f"classes[{place}].")
     safety = params.choice("idempotency", api.Safety)
-    fresh_ms, passes = special.numbers("classFreshMs"), special.listed("passOn", bool)
+    passes = special.listed("passOn", bool)
+
+    def by_class(name: str) -> float:
+        listed = special.numbers(name)
+        return listed[place] if place < len(listed) else 0.0
+
     return api.RequestClass(
         name=params.get("name", str),
         aim_ms=params.number("aimMs"),
@@ -89,7 +94,8 @@
         worth=params.number("worth", 1.0),
         group=params.choice("group", api.Group, "all"),
         memory_ms=params.number("memorySpanMs", None if safety is api.Safety.KEYED else 0.0),
-        fresh_ms=fresh_ms[place] if place < len(fresh_ms) else 0.0,
+        fresh_ms=by_class("classFreshMs"),
+        grace_ms=by_class("staleForMs") if by_class("staleEarns") > 0 else 0.0,
         passes=place < len(passes) and passes[place],
     )
 
