--- /dev/null
+++ b/packages/control-sources/src/control_sources/__init__.py
@@ -0,0 +1,45 @@
+"""Which source of control to poll, and what may be taken of what it tells (``docs/design/control.md``)."""
+
+from __future__ import annotations
+
+from control_sources.follower import Follower
+from control_sources.seam import (
+    Answer,
+    Answered,
+    Ask,
+    Event,
+    Failed,
+    Leave,
+    ListEvent,
+    Polled,
+    Position,
+    Probe,
+    PurgeEvent,
+    SourcesAction,
+    SourcesEvent,
+    Standing,
+    Taken,
+)
+from control_sources.sources import Sources
+from control_sources.times import SourceTimes
+
+__all__ = [
+    "Answer",
+    "Answered",
+    "Ask",
+    "Event",
+    "Failed",
+    "Follower",
+    "Leave",
+    "ListEvent",
+    "Polled",
+    "Position",
+    "Probe",
+    "PurgeEvent",
+    "SourceTimes",
+    "Sources",
+    "SourcesAction",
+    "SourcesEvent",
+    "Standing",
+    "Taken",
+]
