--- a/packages/control-sources/src/control_sources/follower.py
+++ b/packages/control-sources/src/control_sources/follower.py
@@ -63,11 +63,14 @@
         return now - self._confirmed
 
     def take(self, now: float, answer: Answer) -> Taken:
-        """What is to be applied of an answer; its events by their numbers."""
+        """What is to be applied of an answer, lists before purges; its events come by their numbers."""
         self.begin(now, answer.epoch, answer.age_ms, answer.cursor)
-        events: list[Event] = [event for event in answer.events if self.offer(event)]
+        taken: list[Event] = [event for event in answer.events if self.offer(event)]
         whole, standing = self.end()
-        return Taken((whole, *events) if whole is not None else tuple(events), standing)
+        purges = [event for event in taken if isinstance(event, PurgeEvent)]
+        # A drain must not wait for a purge; a list that was put together stands behind the changes before it.
+        lists = [event for event in taken if isinstance(event, ListEvent)]
+        return Taken((*lists, *([whole] if whole is not None else []), *purges), standing)
 
     def begin(self, now: float, epoch: str, age_ms: float, cursor: int) -> None:
         """An answer to the last poll begins."""
