--- a/packages/control-sources/src/control_sources/follower.py
+++ b/packages/control-sources/src/control_sources/follower.py
@@ -38,7 +38,7 @@
         self.listed, self.as_of = False, -math.inf  # of the list that is held
         self._confirmed = -math.inf  # as-of for others: of the last answer that told all
         self._entering = True
-        self._passing: float | None = None  # changes up to this seq are passed over: the source is older
+        self._passing: float | None = None  # the source is older: its changes up to this seq are no news
         self._gap, self._again_at, self._again_ms = False, -math.inf, AGAIN_MS
         self._back, self._back_since = 0, 0.0
         self._checked: int | None = None  # the number that was held when numbers went back
@@ -146,7 +146,10 @@
         if event.whole:
             self.seq, self.listed = event.seq, True
             return True
-        if self._passing is not None and (event.seq is None or event.seq <= self._passing):
+        if self._passing is not None:
+            # Guards what is held against the changes of another history: news of an older source are asked
+            # for as a whole, and judged as such.
+            self._gap |= event.seq is not None and event.seq > self._passing
             return False
         if event.seq is not None:
             self._gap |= self.seq is not None and event.seq > self.seq + 1
--- a/packages/control-sources/tests/follower_world.py
+++ b/packages/control-sources/tests/follower_world.py
@@ -80,6 +80,7 @@
 
     def answer(self, now: float, epoch: str, resume: int, pages: int = PAGE) -> Answer:
         """Events after ``resume`` in this epoch, else the whole state; a page of it."""
+        events: list[Event]
         if epoch == self.epoch and self.first < resume <= self.head:
             events = [self._event(*change) for change in self.changes if change[0] > resume]
             events += [PurgeEvent(*purge) for purge in self.purges if purge[0] > resume]
--- a/packages/control-sources/tests/test_follower.py
+++ b/packages/control-sources/tests/test_follower.py
@@ -176,17 +176,26 @@
     assert follower.age_ms(9000.0) == 8000.0
 
 
-def test_of_an_older_source_changes_are_taken_once_they_are_news() -> None:
+def test_changes_of_an_older_source_are_passed_over_up_to_what_is_held() -> None:
     follower = following()
     assert ask(follower, 1100.0, Answer("b", 100.0, 1, (whole(1, 3, s="old"),)))[1] is Standing.OLDER
-    events = change(2, 4, s="older"), change(3, 5, s="same"), change(4, 6, s="new")
-    told, standing = ask(follower, 1200.0, Answer("b", 100.0, 4, events))
-    assert (told, standing) == ([{"s": "new"}], Standing.OLDER)
-    # Once what it tells stood later, the whole of it is asked for, and taken whatever its seq.
-    assert ask(follower, 2200.0, Answer("b", 100.0, 4))[1] is Standing.MORE
-    assert follower.asked(2201.0) == Position("b", 0)
-    answer = Answer("b", 100.0, 4, (whole(4, 2, s="set back"),))
-    assert ask(follower, 2201.0, answer) == ([{"s": "set back"}], Standing.IN_STEP)
+    events = change(2, 4, s="older"), change(3, 5, s="same")
+    assert ask(follower, 1200.0, Answer("b", 100.0, 3, events)) == ([], Standing.OLDER)
+    # What is more is news: the whole is asked for at once, for its changes may be of another history.
+    assert ask(follower, 1300.0, Answer("b", 100.0, 4, (change(4, 6, s="new"),))) == ([], Standing.MORE)
+    assert follower.asked(1300.0) == Position("b", 0)
+    answer = Answer("b", 100.0, 4, (whole(4, 6, s="new"),))
+    assert ask(follower, 1300.0, answer) == ([{"s": "new"}], Standing.IN_STEP)
+
+
+def test_an_older_source_is_judged_anew_once_what_it_tells_stood_later() -> None:
+    follower = following()
+    assert ask(follower, 1100.0, Answer("b", 100.0, 1, (whole(1, 3, s="old"),)))[1] is Standing.OLDER
+    assert ask(follower, 2000.0, Answer("b", 100.0, 1))[1] is Standing.OLDER
+    assert ask(follower, 2100.0, Answer("b", 100.0, 1))[1] is Standing.MORE
+    assert follower.asked(2101.0) == Position("b", 0)
+    answer = Answer("b", 100.0, 1, (whole(1, 3, s="set back"),))
+    assert ask(follower, 2101.0, answer) == ([{"s": "set back"}], Standing.IN_STEP)
 
 
 def test_a_source_that_missed_a_new_start_of_discovery_tells_history() -> None:
