--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -10,131 +10,29 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import protocol
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
 from thornjunction.logs import get_logger
-from thornjunction.memory.deadlines import Deadline, Deadlines
-from thornjunction.net.endings import code_of, log_end
-from thornjunction.net.transport import Transport, dial
-from thornjunction.net.wire import ProtocolError, http1
-from thornjunction.net.wire.commands import Command, Commands, decode_commands
-
-BLOCK_MS, SILENT_MS = 1200, 800.0  # of one poll; how much later its answer may come
-MOST_SILENT_MS = 5000.0  # as that grows: under the 7 s, and what the protocol lets a poll take
-AT_ONCE_MS = 1  # of the first poll, and after a failure: it asks what stands now
+from thornjunction.memory.deadlines import Deadlines
+from thornjunction.net.backoff import grown, worth_logging
+from thornjunction.net.catch_up import SHORT
+from thornjunction.net.channel_link import ChannelLink
+from thornjunction.net.endings import log_end
+from thornjunction.net.new_numbers import Departed, NewNumbers, is_new_start
+from thornjunction.net.transport import dial
+from thornjunction.net.wire.commands import Command, Commands, ListChange, read_piece
+
 DIAL_MS, MOST_DIAL_MS = 400.0, 1600.0  # for a connection; as that grows with dials that were not answered
 AGAIN_MS, MOST_AGAIN_MS = 50.0, 400.0  # before the next try; as that grows: under a drain's grace
-CLOSE_MS = 400.0  # for the last bytes to an address that was left
-LOG_EACH = 256  # of failures in a row, so many are one line: some 100 s at the longest wait
-MAX_ANSWER = 1_000_000  # bytes: 6,000 shelfs; parsed, the worst takes some 30 MB
+WASTED_MS, MOST_WASTED_MS = (
+    400.0,
+    5000.0,
+)  # the same where much was read for nothing: each costs a core's time
 
 log = get_logger(__name__)
 
 
-def grown(first: float, times: int, most: float) -> float:
-    """Doubled so many times, up to a bound."""
-    return min(first * 2.0 ** min(times, 10), most)
-
-
-def worth_logging(count: int) -> bool:
-    """Of so many in a row: the first, the second, the fourth and so on, later one in LOG_EACH."""
-    return count & (count - 1) == 0 or count % LOG_EACH == 0
-
-
-class ChannelLink(protocol.Protocol):
-    """One connection; polls as long as it lives."""
-
-    transport: Transport  # type: ignore[assignment]
-
-    def __init__(self, channel: Channel) -> None:
-        self.channel, self.reader, self.code = channel, http1.ResponseReader(MAX_ANSWER), ""
-        self.timer: Deadline | None = None
-        self.polls, self.empty, self.asked, self.since = 0, 0, False, channel.clock()
-        self.due = self.block = self.sent_at = 0.0
-
-    def connectionMade(self) -> None:  # noqa: N802
-        self.transport.setTcpNoDelay(True)
-        self.channel.link = self
-        self.poll()
-
-    def poll(self) -> None:
-        channel, self.asked = self.channel, True
-        doubtful = self.polls == 0 and (channel.failures > 0 or not channel.current)
-        self.block, self.sent_at = (AT_ONCE_MS if doubtful else BLOCK_MS), channel.clock()
-        target = f"/cmd/next?resume={channel.cursor}&block={self.block:.0f}"
-        self.transport.write(http1.encode_get(target, channel.host))
-        # Guards against a cut path: a poll that is not answered says nothing.
-        self.due = self.sent_at + self.block + grown(SILENT_MS, channel.silences, MOST_SILENT_MS)
-        self.timer = channel.deadlines.add(self.due, self._overdue)
-
-    def _overdue(self) -> None:
-        """Guards a channel that has answered against a process that was late itself, and so its poll."""
-        now = self.channel.clock()
-        self.timer = self.channel.deadlines.add(now + min(now - self.due, SILENT_MS), self._last_turn)
-
-    def _last_turn(self) -> None:
-        """Timers run before the sockets are read: one more turn reads what has come."""
-        self.timer = self.channel.deadlines.add(self.channel.clock(), self._silent)
-
-    def _silent(self) -> None:
-        self.channel.silences += 1
-        self.close("silent")
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        try:
-            if not self.asked:
-                raise ProtocolError("unasked")
-            response = self.reader.next(data)
-            if response is not None:
-                self._answer(response)
-        except ProtocolError as error:
-            self.close(str(error))
-
-    def _answer(self, response: http1.HttpResponse) -> None:
-        channel = self.channel
-        if response.status != 200:
-            raise ProtocolError(f"status-{response.status}")
-        commands = decode_commands(response.body)
-        channel.deadlines.cancel(self.timer)
-        self.polls, self.asked = self.polls + 1, False
-        now, cursor = channel.clock(), channel.cursor
-        channel.answered(commands, steady=now - self.since >= BLOCK_MS)
-        if self.reader.held:
-            raise ProtocolError("unasked")
-        if not response.keep:
-            raise ProtocolError("no-keep-alive")
-        early = channel.cursor == cursor and now - self.sent_at < self.block - BLOCK_MS / 2
-        self.empty = self.empty + 1 if early else 0
-        if not early:
-            return self.poll()
-        # Guards the core against a channel that has nothing to tell and doesn't hold the poll.
-        wait_ms = grown(AGAIN_MS, self.empty - 1, MOST_AGAIN_MS)
-        self.timer = channel.deadlines.add(now + wait_ms, self.poll)
-
-    def close(self, code: str) -> None:
-        self.code = self.code or code
-        self.transport.abortConnection()
-
-    def leave(self, code: str) -> None:
-        """Close in order: the other side works, it is just not asked any more."""
-        if self.code:
-            return
-        channel, self.code = self.channel, code
-        channel.deadlines.cancel(self.timer)
-        self.timer = channel.deadlines.add(channel.clock() + CLOSE_MS, self.transport.abortConnection)
-        self.transport.loseConnection()
-
-    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
-        channel = self.channel
-        channel.deadlines.cancel(self.timer)
-        channel.link = None
-        lived = self.polls > 0 and channel.clock() - self.since >= BLOCK_MS
-        steady = self.code == "moved" or (lived and self.code != "silent")
-        channel.lost(steady, self.code or code_of(reason), self.polls)
-
-
 class Channel:
     """Keeps one connection to the command channel and the number of the last event taken in."""
 
@@ -153,7 +51,10 @@
         self.stopped = False
         self.failures = self.faulty = 0  # in a row: ends without an answer, or soon after one; answers
         self.silences = self.hangs = 0  # in a row: polls, and dials, that were not answered in time
+        self.wasted = 0  # in a row: long answers that were read for nothing
         self.link: ChannelLink | None = None
+        self._asked = 0  # the cursor at the last poll
+        self._numbers, self._departed, self._renewing = NewNumbers(), Departed(), False
         self._dialling: Deferred[Any] | None = None
 
     def replay(self, known: Commands) -> None:
@@ -161,14 +62,29 @@
         self.apply(known)
         self.cursor = max(self.cursor, known.cursor)
 
+    def ask(self) -> int:
+        """What the next poll resumes from."""
+        self._asked = self.cursor
+        return 0 if self._numbers.asking else self.cursor
+
+    @property
+    def still(self) -> bool:
+        """Whether nothing new has come since the last poll."""
+        return self.cursor == self._asked
+
     def answered(self, commands: Commands, steady: bool = False) -> None:
+        """An answer has come whole; of a long one, its events have been applied."""
         self.silences = 0
         self.failures = 0 if steady else self.failures
-        faults = commands.faults + ("behind",) * (commands.cursor < self.cursor)
+        self._settle(commands.cursor, commands)
+        behind = commands.cursor < self._asked
+        faults = commands.faults + ("behind",) * behind
         self.faulty = self.faulty + 1 if faults else 0
         if faults and worth_logging(self.faulty):
             log.error("channel-faults", cursor=self.cursor, told=commands.cursor, faults=",".join(faults))
         self.apply(commands)
+        self._renewing = False
+        self._numbers.heard(behind and self.still, self.clock())
         if not self.current:
             self.current = True
             self.on_current()
@@ -182,10 +98,52 @@
             if event.cursor <= start:
                 continue
             self.cursor = event.cursor
-            try:
-                self.take(event)
-            except Exception:  # Guards the events behind one that the program stumbles over, and its repeat
-                log.exception("event-failed", cursor=event.cursor)
+            self._feed(event)
+
+    def apply_piece(self, told: int | None, listed: list[Any]) -> Commands:
+        """Take in what is new of a long answer's piece, the drains before the purges; the cursor moves past
+        all of it, or none.  ``told`` is the answer's cursor, where it has come."""
+        if self._numbers.asking:
+            self._settle(told, read_piece(listed, 0))
+        piece = read_piece(listed, self.cursor)
+        for event in piece.events:
+            self._feed(event)
+        self.cursor = piece.cursor
+        return piece
+
+    def _feed(self, event: Command) -> None:
+        if isinstance(event, ListChange):
+            if self._renewing:
+                event = self._departed.kept_out(event)
+            self._departed.note(event)
+        try:
+            self.take(event)
+        except Exception:  # Guards the events behind one that the program stumbles over, and its repeat
+            log.exception("event-failed", cursor=event.cursor)
+
+    def _settle(self, told: int | None, begun: Commands) -> None:
+        """Where this was asked from 0: go on by new numbers, or by those that stand."""
+        if not self._numbers.asking:
+            return
+        self._renewing = is_new_start(told, self.cursor, begun)
+        self._numbers.settled(self._renewing)
+        log.error("channel-asked-anew", cursor=self.cursor, told=told, new_start=self._renewing)
+        if self._renewing:
+            self.cursor = self._asked = 0
+
+    def read(self, wasted: int) -> None:
+        """The end of an answer, whole or not: bytes that were read since the last new event."""
+        if wasted > SHORT:
+            self.wasted += 1
+        elif not self.still:
+            self.wasted = 0
+
+    def pause_ms(self, times: int) -> float:
+        """Before the next try, after so many in a row that brought nothing."""
+        wait_ms = grown(AGAIN_MS, max(times - 1, 0), MOST_AGAIN_MS)
+        if not self.wasted:
+            return wait_ms
+        return max(wait_ms, grown(WASTED_MS, self.wasted - 1, MOST_WASTED_MS) * (0.5 + random.random() / 2))
 
     def start(self) -> None:
         """Dial; what fails is tried again soon."""
@@ -210,7 +168,8 @@
         if address == self.address:
             return
         self.address, self.host = address, f"{address[0]}:{address[1]}"
-        self.failures = self.silences = self.hangs = 0
+        self.failures = self.silences = self.hangs = self.wasted = 0
+        self._numbers = NewNumbers()
         if self.link is not None:
             self.link.leave("moved")
         elif self._dialling is not None:
@@ -222,6 +181,6 @@
         count = self.failures
         if worth_logging(count):
             log_end("channel", None, code, polls=polls, failures=count)
-        wait_ms = grown(AGAIN_MS, max(count - 1, 0), MOST_AGAIN_MS)
         # Guards a channel that comes back against all routers at one moment.
-        self.deadlines.add(self.clock() + wait_ms * (0.5 + random.random() / 2), self.start)
+        wait_ms = self.pause_ms(count) * (0.5 + random.random() / 2)
+        self.deadlines.add(self.clock() + wait_ms, self.start)
--- a/thornjunction/net/transport.py
+++ b/thornjunction/net/transport.py
@@ -31,6 +31,10 @@
 
     def abortConnection(self) -> None: ...  # noqa: N802
 
+    def pauseProducing(self) -> None: ...  # noqa: N802
+
+    def resumeProducing(self) -> None: ...  # noqa: N802
+
     def setTcpNoDelay(self, enabled: bool) -> None: ...  # noqa: N802
 
     def registerProducer(self, producer: object, streaming: bool) -> None: ...  # noqa: N802
--- a/thornjunction/net/wire/commands.py
+++ b/thornjunction/net/wire/commands.py
@@ -10,7 +10,7 @@
 import json
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from thornjunction import interface as api
@@ -19,6 +19,8 @@
 STATES = {"active": api.State.SERVING, "leaving": api.State.DRAINING, "left": api.State.GONE}
 LARGEST = 1 << 53  # of a number: past it JSON's readers differ
 TOLD_FAULTS, MOST_FAULTS = 8, 1000  # of one answer: for the log; past these it is none, for each takes time
+EPOCH = frozenset("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-")
+MOST_EPOCH = 32  # characters
 UNREADABLE = KeyError, TypeError, ValueError, AttributeError, OverflowError
 
 
@@ -41,6 +43,7 @@
     cursor: int
     whole: bool
     hosts: tuple[Host, ...]
+    seq: int | None = None  # discovery's version of the list, where it tells one
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +62,8 @@
     cursor: int
     events: tuple[Command, ...]  # by their numbers
     faults: tuple[str, ...] = field(default=())  # what could not be read: codes, for the log
+    epoch: str | None = None  # whose numbers these are; none: discovery's own
+    age_ms: float | None = None  # how long ago discovery itself confirmed that this stood so
 
 
 class TooManyFaultsError(Exception):
@@ -94,19 +99,59 @@
 
 def read_commands(told: Any) -> Commands:
     """Commands from parsed JSON, as the channel and the configuration hold them."""
-    faults = Faults()
+    head = read_head(told)
+    listed = told.get("cmds")
+    if not isinstance(listed, list):
+        raise ProtocolError("commands-form")
+    events, faults = _read_events(listed, head.cursor)
+    return replace(head, events=tuple(sorted(events, key=lambda command: command.cursor)), faults=faults)
+
+
+def read_head(told: Any) -> Commands:
+    """What an answer says beside its events; ProtocolError where it doesn't say its cursor."""
     try:
-        cursor, listed = int(_number(told["cursor"])), told["cmds"]
+        cursor, epoch = int(_number(told["cursor"])), told.get("epoch")
     except UNREADABLE as error:
         raise ProtocolError("commands-form") from error
-    if not isinstance(listed, list):
-        raise ProtocolError("commands-form")
+    named = isinstance(epoch, str) and 0 < len(epoch) <= MOST_EPOCH and EPOCH.issuperset(epoch)
+    return Commands(cursor, (), epoch=epoch if named else None, age_ms=_optional(told, "age"))
+
+
+def read_piece(listed: list[Any], known: int) -> Commands:
+    """Whole events of an answer that comes in pieces, from parsed JSON, as one answer of their own: those
+    behind ``known``, the drains in them before the purges.  What can't be placed counts as its last one."""
+    placed = [(_placed(event), event) for event in listed]
+    last = max((number for number, _ in placed if number is not None), default=known)
+    new = [event for number, event in placed if number is None or number > known]
+    events, faults = _read_events(new, max(last, known))
+    events.sort(key=lambda command: (isinstance(command, Purge), command.cursor))
+    return Commands(max((command.cursor for command in events), default=known), tuple(events), faults)
+
+
+def _read_events(listed: list[Any], last: int) -> tuple[list[Command], tuple[str, ...]]:
+    """What can be read of them, and the first codes of what can't."""
+    faults = Faults()
     try:
-        events = [command for event in listed if (command := _command(event, cursor, faults)) is not None]
+        events = [command for event in listed if (command := _command(event, last, faults)) is not None]
     except TooManyFaultsError as error:
         raise ProtocolError("commands-faults") from error
-    events.sort(key=lambda command: command.cursor)
-    return Commands(cursor, tuple(events), tuple(faults.codes[:TOLD_FAULTS]))
+    return events, tuple(faults.codes[:TOLD_FAULTS])
+
+
+def _placed(event: Any) -> int | None:
+    """An event's number; None where it can't be read."""
+    try:
+        return int(_number(event["cursor"]))
+    except UNREADABLE:
+        return None
+
+
+def _optional(told: Mapping[str, Any], key: str) -> float | None:
+    """A number that need not be there; what is none is passed over, for the plain protocol has none."""
+    try:
+        return float(_number(told[key]))
+    except UNREADABLE:
+        return None
 
 
 def _signed(value: Any) -> float:
@@ -126,9 +171,8 @@
 
 def _command(event: Any, last: int, faults: Faults) -> Command | None:
     """An event that can't be placed counts as the last one of its answer, so that it is taken."""
-    try:
-        cursor = int(_number(event["cursor"]))
-    except UNREADABLE:
+    cursor = _placed(event)
+    if cursor is None:
         cursor = last
         faults.add("event-cursor")
     try:
@@ -148,7 +192,9 @@
     if listed and not hosts:
         # Guards what is known against a whole list of nothing but unreadable lines, which would end all.
         raise ValueError("no line can be read")
-    return ListChange(cursor, bool(nodes.get("whole", False)), tuple(hosts))
+    seq = _optional(nodes, "seq")
+    whole = bool(nodes.get("whole", False))
+    return ListChange(cursor, whole, tuple(hosts), None if seq is None else int(seq))
 
 
 def _host(line: Any, faults: Faults) -> Host | None:
--- a/thornjunction/net/wire/http1.py
+++ b/thornjunction/net/wire/http1.py
@@ -49,7 +49,10 @@
         self._buffer = bytearray()
         self._max_body = max_body
         self._head: tuple[str, dict[str, str]] | None = None
-        self._size = 0  # of the body, or of the open chunk; -1: the chunk's line has not come
+        self._size = (
+            0  # what is still to come of the body, or of the open chunk; -1: its line, or the last's end
+        )
+        self._told = 0  # of the body's length, so far
         self._chunked = self._trailing = False
         self._body = bytearray()
 
@@ -98,15 +101,17 @@
         headers = _headers(lines[1:])
         self._chunked, self._trailing = _is_chunked(headers), False
         self._size = -1 if self._chunked else _length(headers, self._max_body)
+        self._told = max(self._size, 0)
         self._head = lines[0].decode("latin-1"), headers
         return True
 
     def _read_body(self) -> bool:
-        if len(self._buffer) < self._size:
-            return False
-        self._body += self._buffer[: self._size]
-        del self._buffer[: self._size]
-        return True
+        """Take over what has come of the body, or of the open chunk; True: no more of it is to come."""
+        part = self._buffer[: self._size]
+        self._body += part
+        del self._buffer[: len(part)]
+        self._size -= len(part)
+        return self._size == 0
 
     def _read_chunks(self) -> bool:
         """True once the last chunk and its trailer have come."""
@@ -117,15 +122,15 @@
                     return False
                 self._size = _chunk_size(line)
                 self._trailing = self._size == 0
-                if len(self._body) + self._size > self._max_body:
+                self._told += self._size
+                if self._told > self._max_body:
                     raise ProtocolError("http-body-size")
                 continue
-            if len(self._buffer) < self._size + 2:
+            if not self._read_body() or len(self._buffer) < 2:
                 return False
-            if self._buffer[self._size : self._size + 2] != b"\r\n":
+            if self._buffer[:2] != b"\r\n":
                 raise ProtocolError("http-chunk")
-            self._body += self._buffer[: self._size]
-            del self._buffer[: self._size + 2]
+            del self._buffer[:2]
             self._size = -1
         while (line := self._line()) is not None:
             if not line:
@@ -152,6 +157,24 @@
 
 
 class ResponseReader(_Reader[HttpResponse]):
+    """``told`` and ``parts`` are for a body that is too long to be kept until it is whole."""
+
+    @property
+    def told(self) -> int:
+        """Bytes that the open response's body has at least; 0 where none is open."""
+        return self._told if self._head is not None else 0
+
+    def head(self) -> HttpResponse:
+        """The open response without its body."""
+        assert self._head is not None
+        return self._build(*self._head, b"")
+
+    def parts(self) -> bytes:
+        """What has come of the open response's body; taken from here, it is not in the response any more."""
+        part = bytes(self._body)
+        self._body.clear()
+        return part
+
     def _build(self, start: str, headers: Mapping[str, str], body: bytes) -> HttpResponse:
         version, _, rest = start.partition(" ")
         if len(rest) < 3 or not (rest[:3].isascii() and rest[:3].isdigit()):
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -205,6 +205,10 @@
             self.pool.update(command.hosts, command.whole)  # what waited there is decided again by this list
         else:
             age = max(core_ms() - unix_to_core(command.when_ms), 0.0)
+            if (
+                age > self.config.settings.purge_takes_ms
+            ):  # all caches have dropped it: no decision hangs on it
+                return
             self.engine.feed(api.Purged(command.group, age, command.key))
 
     def _entry(self, host: Host) -> api.ServerEntry:
