--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -268,5 +268,5 @@
     code = "import sys, thornjunction.runtime.start, thornjunction.runtime.service; print(*sys.modules)"
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, text=True).stdout
     assert "twisted" in loaded.split()
-    assert not {"click", "joserfc", "msgspec", "re2"} & set(loaded.split())
+    assert not {"click", "ijson", "joserfc", "msgspec", "re2"} & set(loaded.split())
     assert not [name for name in loaded.split() if name.startswith("fleet_") or name.endswith(".fleet")]
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -138,12 +138,12 @@
         elif not self.still:
             self.wasted = 0
 
-    def pause_ms(self, times: int) -> float:
+    def pause_ms(self, times: int, spread: bool = False) -> float:
         """Before the next try, after so many in a row that brought nothing."""
         wait_ms = grown(AGAIN_MS, max(times - 1, 0), MOST_AGAIN_MS)
-        if not self.wasted:
-            return wait_ms
-        return max(wait_ms, grown(WASTED_MS, self.wasted - 1, MOST_WASTED_MS) * (0.5 + random.random() / 2))
+        if self.wasted:
+            wait_ms = max(wait_ms, grown(WASTED_MS, self.wasted - 1, MOST_WASTED_MS))
+        return wait_ms * (0.5 + random.random() / 2) if spread or self.wasted else wait_ms
 
     def start(self) -> None:
         """Dial; what fails is tried again soon."""
@@ -182,5 +182,4 @@
         if worth_logging(count):
             log_end("channel", None, code, polls=polls, failures=count)
         # Guards a channel that comes back against all routers at one moment.
-        wait_ms = self.pause_ms(count) * (0.5 + random.random() / 2)
-        self.deadlines.add(self.clock() + wait_ms, self.start)
+        self.deadlines.add(self.clock() + self.pause_ms(count, spread=True), self.start)
--- a/thornjunction/net/channel_link.py
+++ b/thornjunction/net/channel_link.py
@@ -119,13 +119,15 @@
             self._answered(long.end())
 
     def _next_piece(self) -> None:
+        """The connection is read again only in the turn behind the last piece of what had come."""
         if self.code:
             return
-        self.transport.resumeProducing()
         try:
             self._piece()
         except ProtocolError as error:
-            self.close(str(error))
+            return self.close(str(error))
+        if self.long is None or not self.long.waits:
+            self.turn = self.channel.deadlines.add(self.channel.clock(), self.transport.resumeProducing)
 
     def _answered(self, commands: Commands) -> None:
         channel, now, long = self.channel, self.channel.clock(), self.long
--- a/thornjunction/net/wire/long_answer.py
+++ b/thornjunction/net/wire/long_answer.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections.abc import Generator
-from decimal import Decimal
 from typing import Any
 
 from thornjunction.net.wire import ProtocolError
@@ -33,12 +32,13 @@
         self.fault, self.listed = "", False  # whether the list of events has come
         self._events: list[Any] = []
         self._key = ""  # the name that the next value beside the events has
-        self._errors = ijson.JSONError, ValueError  # the second: a number of more digits than Python reads
+        self._errors = ijson.JSONError, UnicodeDecodeError  # the second: letters that only yajl takes for such
         self._object = ijson.ObjectBuilder
         self._since, self._nodes = 0, 0  # bytes and nodes since the last whole event
         building = self._build()
         next(building)
-        self._parser: Any = ijson.basic_parse_coro(building)
+        # Without ``use_float``, a number of more digits than Python converts crashes the parser (3.6.0).
+        self._parser: Any = ijson.basic_parse_coro(building, use_float=True)
 
     def feed(self, data: bytes) -> list[Any]:
         """The events that these bytes end."""
@@ -96,7 +96,7 @@
         self._nodes += 1
         if self._nodes > MAX_NODES:  # Guards against an event that takes 30 times its bytes
             raise ProtocolError("event-size")
-        build.event(kind, float(value) if type(value) is Decimal else value)
+        build.event(kind, value)
 
     def _whole(self, event: Any) -> None:
         self._events.append(event)
@@ -110,7 +110,7 @@
         elif depth == ROOT and kind == "map_key":
             self._key = value
         elif depth == ROOT and kind not in STEPS and self._key in TOLD:
-            self.told[self._key] = float(value) if type(value) is Decimal else value
+            self.told[self._key] = value
         elif depth == CMDS and kind == "start_array" and self._key == "cmds":
             self.listed = True
             return True
