--- /dev/null
+++ b/tests/test_control_settings.py
@@ -0,0 +1,131 @@
+"""The operators' ``[relay]`` and ``[control]`` sections: what is taken, and that a fault names its key."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from thornjunction.runtime import control_settings
+from thornjunction.runtime.config import ConfigError
+from thornjunction.runtime.control_settings import load_relay, read_control
+from thornjunction.settings import Params, WireError
+
+ROOT = Path(__file__).resolve().parent.parent
+RELAY: dict[str, Any] = {"listen": "127.0.0.1:8600", "name": "relay-1", "upstreams": ["127.0.0.1:8700"]}
+
+
+def written(folder: Path, more: dict[str, Any], rest: str = "") -> Path:
+    """An operators' file with a whole ``[relay]``, but for what is given."""
+    lines = [f"{key} = {json.dumps(value)}" for key, value in (RELAY | more).items() if value is not None]
+    path = folder / "extras.toml"
+    path.write_text("\n".join(["[relay]", *lines, rest, ""]))
+    return path
+
+
+def test_a_whole_relay_is_taken(tmp_path: Path) -> None:
+    more = {
+        "siblings": ["127.0.0.1:8601"],
+        "routers": ["r1", "r2"],
+        "join_ms": 0,
+        "admin_addr": "127.0.0.1:9",
+    }
+    told = load_relay(written(tmp_path, more), {})
+    assert told is not None and (told.listen, told.upstreams) == (("127.0.0.1", 8600), (("127.0.0.1", 8700),))
+    assert (told.siblings, told.routers, told.name) == ((("127.0.0.1", 8601),), ("r1", "r2"), "relay-1")
+    assert (told.join_ms, told.hold_ms, told.admin_addr) == (0.0, 10_000.0, ("127.0.0.1", 9))
+    told = load_relay(written(tmp_path, {}), {"PROXY_ADMIN_ADDR": "127.0.0.1:7"})
+    assert told is not None and (told.join_ms, told.admin_addr) == (150.0, ("127.0.0.1", 7))
+
+
+def test_a_file_without_the_section_is_no_relay(tmp_path: Path) -> None:
+    path = tmp_path / "extras.toml"
+    path.write_text("[metrics]\ngraphite = 'no address'\n")
+    assert load_relay(path, {}) is None
+
+
+def test_private_addresses_only_where_the_operators_say_so(tmp_path: Path) -> None:
+    more = {"listen": "10.0.0.4:8600", "private": True, "upstreams": ["10.0.0.1:8700"]}
+    told = load_relay(written(tmp_path, more), {})
+    assert told is not None and told.upstreams == (("10.0.0.1", 8700),)
+    with pytest.raises(ConfigError, match="relay.listen"):
+        load_relay(written(tmp_path, more | {"private": False}), {})
+
+
+@pytest.mark.parametrize(
+    ("more", "names"),
+    [
+        ({"listen": None}, "relay.listen"),
+        ({"listen": "0.0.0.0:8600", "private": True}, "relay.listen"),
+        ({"listen": "127.0.0.1:0"}, "relay.listen"),
+        ({"name": None}, "relay.name"),
+        ({"name": "two words"}, "relay.name"),
+        ({"name": "x" * 33}, "relay.name"),
+        ({"upstreams": []}, "relay.upstreams"),
+        ({"upstreams": [7]}, "relay.upstreams"),
+        ({"upstreams": ["8.8.8.8:1"], "private": True}, "relay.upstreams"),
+        ({"upstreams": ["127.0.0.1:1"] * 2}, "relay.upstreams"),
+        ({"upstreams": ["127.0.0.1:8600"]}, "relay.upstreams"),
+        ({"upstreams": [f"127.0.0.1:{port}" for port in range(1, 18)]}, "relay.upstreams"),
+        ({"siblings": ["127.0.0.1:8600"]}, "relay.siblings"),
+        ({"siblings": ["127.0.0.1:8700"]}, "relay.siblings"),
+        ({"routers": ["r1", "r1"]}, "relay.routers"),
+        ({"routers": ["a b"]}, "relay.routers"),
+        ({"routers": [f"r{number}" for number in range(2049)]}, "relay.routers"),
+        ({"join_ms": 1001}, "relay.join_ms"),
+        ({"join_ms": -1}, "relay.join_ms"),
+        ({"hold_ms": 999}, "relay.hold_ms"),
+        ({"hold_ms": "x"}, "relay.hold_ms"),
+        ({"admin_addr": "8.8.8.8:1"}, "relay.admin_addr"),
+        ({"upstream": ["127.0.0.1:1"]}, "relay.upstream: no such key"),
+    ],
+)
+def test_a_faulty_relay_is_named(more: dict[str, Any], names: str, tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=names):
+        load_relay(written(tmp_path, more), {})
+
+
+@pytest.mark.parametrize("other", control_settings.BESIDE_RELAY)
+def test_a_relay_is_nothing_else(other: str, tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=rf"leave out \[{other}\]"):
+        load_relay(written(tmp_path, {}, f"[{other}]"), {})
+
+
+def test_a_faulty_relay_ends_with_two(tmp_path: Path) -> None:
+    path = written(tmp_path, {"hold_ms": 5})
+    command = [sys.executable, "-m", "thornjunction", "run", "--extras", str(path)]
+    ended = subprocess.run(
+        command, env=dict(os.environ), cwd=ROOT, capture_output=True, text=True, timeout=60
+    )
+    assert ended.returncode == 2 and "relay.hold_ms" in ended.stderr and "extras.toml" in ended.stderr
+
+
+def control(**told: Any) -> control_settings.ControlSettings:
+    return read_control(Params(told, "control."))
+
+
+def test_a_whole_control_is_taken() -> None:
+    told = control(name="r1", sources=["127.0.0.1:1", "127.0.0.1:2"])
+    assert (told.name, told.sources) == ("r1", (("127.0.0.1", 1), ("127.0.0.1", 2)))
+    assert control(sources=["10.0.0.1:1"], private=True).name == ""
+
+
+@pytest.mark.parametrize(
+    ("told", "names"),
+    [
+        ({}, "control.sources"),
+        ({"sources": []}, "control.sources"),
+        ({"sources": ["10.0.0.1:1"]}, "control.sources"),
+        ({"sources": ["127.0.0.1:1"] * 2}, "control.sources"),
+        ({"sources": ["127.0.0.1:1"], "name": "a b"}, "control.name"),
+        ({"sources": ["127.0.0.1:1"], "nam": "ab"}, "control.nam: no such key"),
+    ],
+)
+def test_a_faulty_control_is_named(told: dict[str, Any], names: str) -> None:
+    with pytest.raises((ConfigError, WireError), match=names):
+        control(**told)
--- a/thornjunction/runtime/extras.py
+++ b/thornjunction/runtime/extras.py
@@ -22,6 +22,7 @@
 from thornjunction.signing.tokens import ALGORITHMS, Key, SigningKey, Trust
 
 if TYPE_CHECKING:
+    from thornjunction.runtime.control_settings import ControlSettings
     from thornjunction.runtime.fleet_settings import FleetSettings
 
 
@@ -96,6 +97,7 @@
     signed: SignedFront | None = None
     metrics: MetricsTargets | None = None
     fleet: FleetSettings | None = None
+    control: ControlSettings | None = None
 
 
 def load_extras(path: Path) -> Extras:
@@ -108,6 +110,7 @@
             signed=_signed(top, path.parent) if "signed" in top.data else None,
             metrics=_metrics(top.below("metrics")) if "metrics" in top.data else None,
             fleet=_fleet(top, path.parent) if "fleet" in top.data else None,
+            control=_control(top) if "control" in top.data else None,
         )
     except (OSError, tomllib.TOMLDecodeError, WireError) as error:
         raise ConfigError(f"{path.name}: {error}") from error
@@ -121,6 +124,14 @@
     return read_fleet(top.below("fleet"), folder)
 
 
+def _control(top: Params) -> ControlSettings:
+    from thornjunction.runtime.control_settings import read_control
+
+    if find_spec("control_sources") is None:
+        raise ConfigError("control: its packages are not installed (packages/)")
+    return read_control(top.below("control"))
+
+
 def _signed(top: Params, folder: Path) -> SignedFront:
     front = top.below("signed")
     listen = address_of("signed.listen", front.get("listen", str))
--- a/thornjunction/runtime/fleet.py
+++ b/thornjunction/runtime/fleet.py
@@ -17,8 +17,9 @@
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.wire.operators import encode_lines
+from thornjunction.runtime.addresses import check_name
 from thornjunction.runtime.config import ConfigError
-from thornjunction.runtime.fleet_settings import FleetSettings, check_name
+from thornjunction.runtime.fleet_settings import FleetSettings
 from thornjunction.runtime.incarnation import next_incarnation
 
 AGAIN_MS = 500.0  # between attempts to bind: the process that this one replaces may still hold the port
@@ -33,7 +34,7 @@
     def __init__(self, told: FleetSettings, name: str, deadlines: Deadlines) -> None:
         self.told, self.deadlines = told, deadlines
         self.name = told.name or name
-        check_name(self.name)
+        check_name("fleet", self.name)
         incarnation = next_incarnation(told.data, told.fleet, self.name, lambda: time.time() * 1000.0)
         try:
             settings = MembershipSettings(
--- a/thornjunction/runtime/fleet_settings.py
+++ b/thornjunction/runtime/fleet_settings.py
@@ -3,17 +3,14 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from ipaddress import ip_address
 from pathlib import Path
 
-from thornjunction.runtime.config import ConfigError, address_of
+from thornjunction.runtime.addresses import Address, check_name, near_address
+from thornjunction.runtime.config import ConfigError
 from thornjunction.settings import Params
 
-Address = tuple[str, int]
-NAME = re.compile(r"[A-Za-z0-9._-]{1,32}")
 LEAST_SECRET = 32  # bytes
 MOST_TIMING = 3_600_000  # ms, or of a count
 
@@ -40,17 +37,17 @@
     private = params.get("private", bool, False)
     place, told = params.get("listen", str), params.get("advertise", str, "")
     if told and place.endswith(":0"):  # any free port: the others know the one advertised
-        listen = _address("fleet.listen", place.removesuffix("0") + "1", private)[0], 0
+        listen = near_address("fleet.listen", place.removesuffix("0") + "1", private)[0], 0
     else:
-        listen = _address("fleet.listen", place, private)
-    advertise = _address("fleet.advertise", told, private) if told else listen
+        listen = near_address("fleet.listen", place, private)
+    advertise = near_address("fleet.advertise", told, private) if told else listen
     settings = FleetSettings(
         listen,
         advertise,
         name=params.get("name", str, ""),
         fleet=params.get("fleet", str),
         secret=_secret(folder / params.get("secret_file", str)),
-        seeds=tuple(_address("fleet.seeds", str(seed), private) for seed in params.get("seeds", list)),
+        seeds=tuple(near_address("fleet.seeds", str(seed), private) for seed in params.get("seeds", list)),
         voters=tuple(str(voter) for voter in params.get("voters", list)),
         data=folder / params.get("data", str),
         timings=_timings(params.below("timings")) if "timings" in params.data else {},
@@ -58,25 +55,10 @@
     if not settings.voters or len(set(settings.voters)) < len(settings.voters):
         raise ConfigError("fleet.voters: empty, or one name twice")
     for name in (settings.fleet, *settings.voters, *([settings.name] if settings.name else [])):
-        check_name(name)
+        check_name("fleet", name)
     return settings
 
 
-def check_name(name: str) -> None:
-    """ConfigError for what would not stand in a datagram or on a line of the operators' door."""
-    if not NAME.fullmatch(name):
-        raise ConfigError(f"fleet: a name is 1 to 32 letters, digits, dots and dashes, not {name[:40]!r}")
-
-
-def _address(key: str, text: str, private: bool) -> Address:
-    """Loopback, or private where the operators say so; never public, and never all addresses at once."""
-    host, port = address_of(key, text)
-    ip = ip_address(host)
-    if not ip.is_loopback and not (private and ip.is_private and not ip.is_unspecified):
-        raise ConfigError(f"{key}: not a loopback address" + (" nor a private one" if private else ""))
-    return host, port
-
-
 def _secret(path: Path) -> bytes:
     try:
         secret = path.read_bytes().strip()
--- a/thornjunction/runtime/start.py
+++ b/thornjunction/runtime/start.py
@@ -23,7 +23,10 @@
 
 
 def serve_or_demo(environ: Mapping[str, str], extras_path: Path = EXTRAS) -> int:
-    """``serve``; where PROXY_CONFIG is not set, a demo on stand-ins."""
+    """A relay, where the operators' file makes this process one (it reads no PROXY_CONFIG); else ``serve``;
+    where PROXY_CONFIG is not set, a demo on stand-ins."""
+    if extras_path.exists() and (code := _relay(environ, extras_path)) is not None:
+        return code
     if "PROXY_CONFIG" in environ:
         return serve(environ, extras_path)
     from twisted.internet import reactor
@@ -54,6 +57,29 @@
     return service.run()
 
 
+def _relay(environ: Mapping[str, str], path: Path) -> int | None:
+    """The exit code of a relay, 2 where its section is faulty; None where the file has none."""
+    from thornjunction.runtime.control_settings import load_relay
+
+    logs.to_stream(sys.stderr)
+    try:
+        settings = load_relay(path, environ)
+        if settings is None:
+            return None
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))  # until the relay takes it
+        from twisted.internet import reactor
+
+        from thornjunction.runtime.relay import RelayProcess
+
+        relay = RelayProcess(settings, reactor)
+    except ConfigError as error:
+        print(f"thornjunction: {error}", file=sys.stderr)
+        return 2
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    return relay.run()
+
+
 def _extras(path: Path) -> Extras:
     from thornjunction.runtime.extras import load_extras  # its libraries, only where there is such a file
 
