--- a/thornjunction/net/operators.py
+++ b/thornjunction/net/operators.py
@@ -24,8 +24,10 @@
         calls: Mapping[str, Callable[[], bytes]],
         deadlines: Deadlines,
         clock: Callable[[], float],
+        named: Mapping[str, Callable[[str], bytes]] | None = None,
     ) -> None:
         self.calls, self.deadlines, self.clock = calls, deadlines, clock
+        self.named = named or {}  # calls of two words: the second is handed on
         self.links: dict[OperatorsLink, None] = {}
 
     def add(self, link: OperatorsLink) -> None:
@@ -35,8 +37,12 @@
         self.links[link] = None
 
     def reply(self, line: str) -> bytes:
-        call = self.calls.get(line)
-        return call() if call is not None else encode_word(False, "no such call")
+        if (call := self.calls.get(line)) is not None:
+            return call()
+        word, _, rest = line.partition(" ")
+        if rest and (named := self.named.get(word)) is not None:
+            return named(rest)
+        return encode_word(False, "no such call")
 
 
 class OperatorsLink(protocol.Protocol):
--- a/thornjunction/net/wire/commands.py
+++ b/thornjunction/net/wire/commands.py
@@ -17,6 +17,7 @@
 from thornjunction.net.wire import ProtocolError
 
 STATES = {"active": api.State.SERVING, "leaving": api.State.DRAINING, "left": api.State.GONE}
+HEALTH = {state: word for word, state in STATES.items()}
 LARGEST = 1 << 53  # of a number: past it JSON's readers differ
 TOLD_FAULTS, MOST_FAULTS = 8, 1000  # of one answer: for the log; past these it is none, for each takes time
 UNREADABLE = KeyError, TypeError, ValueError, AttributeError, OverflowError
@@ -177,6 +178,20 @@
     return Host(line["host"], address, *place, int(cell), state, float(weight), float(born_ms))
 
 
+def line_of(host: Host) -> dict[str, Any]:
+    """A line of the list as the channel tells it: what ``_host`` reads as this host."""
+    return {
+        "host": host.name,
+        "dial": f"{host.address[0]}:{host.address[1]}" if host.address is not None else "",
+        "site": host.site,
+        "class": host.kind,
+        "block": host.cell,
+        "health": HEALTH[host.state],
+        "share": host.weight,
+        "born_ms": host.born_ms,
+    }
+
+
 def _purge(cursor: int, drop: Mapping[str, Any], faults: Faults) -> Purge:
     key, group = None, 0
     if "id" in drop:
--- /dev/null
+++ b/thornjunction/runtime/relay.py
@@ -0,0 +1,178 @@
+"""``[relay]``: this process is a relay.  It follows discovery or other relays by the command channel, answers
+the routers and relays that poll it, and tells operators what is done everywhere.  No fronts, no shelfs, no
+decisions.  Imported only where the operators' file has the section."""
+
+from __future__ import annotations
+
+import math
+import resource
+import secrets
+import signal
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from control_relay import (
+    Answer,
+    Confirmed,
+    Dismissed,
+    ListTold,
+    Polled,
+    PollerGone,
+    PurgeTold,
+    Refuse,
+    Relay,
+    RelayAction,
+    RelayEvent,
+)
+from control_relay import RelaySettings as MachineSettings
+from fleet_seam import SetTimer, Started, TimerFired, Told
+from twisted.internet import protocol
+
+from thornjunction.logs import get_logger
+from thornjunction.net.alarm import Alarm, core_ms
+from thornjunction.net.operators import OperatorsDoor, OperatorsLink
+from thornjunction.net.relay import Pollers
+from thornjunction.net.transport import Building, server_endpoint
+from thornjunction.net.wire.commands import Command, ListChange, line_of
+from thornjunction.net.wire.polls import Poll
+from thornjunction.runtime.config import ConfigError
+from thornjunction.runtime.control_settings import RelaySettings
+from thornjunction.runtime.relay_view import RelayView
+
+MOST_CONNECTIONS = 4096
+OWN_DESCRIPTORS = 64  # of the program, its upstream and its door
+END_MS = 500.0  # for the last answers to be read
+AGAIN_MS = 1_000.0  # until a timer in which the machine failed is due once more
+
+log = get_logger(__name__)
+
+
+class RelayProcess:
+    """One relay from its start to its exit."""
+
+    def __init__(self, settings: RelaySettings, reactor: Any) -> None:
+        self.settings, self.reactor = settings, reactor
+        self.alarm = Alarm(reactor)
+        deadlines = self.alarm.deadlines
+        told = MachineSettings(expected=settings.routers, join_ms=settings.join_ms, hold_ms=settings.hold_ms)
+        # Unix seconds, so that a plain router that comes from elsewhere takes what it is told.
+        self.machine = Relay(told, secrets.token_hex(8), int(time.time()) << 20)
+        self.pollers = Pollers(_connections(), deadlines, core_ms, self._polled, self._gone)
+        self.faults, self.ending, self.faulty = Counter[str](), False, False
+        view = RelayView(self.machine, self.pollers, core_ms, self.dismiss)
+        self.operators = OperatorsDoor(view.calls, deadlines, core_ms, view.named)
+        self._ports: list[Any] = []
+
+    def start(self) -> None:
+        """Listen at once: who polls before there is a state is told so, and goes elsewhere."""
+        self.feed(Started())
+        log.info("relay-start", name=self.settings.name, connections=self.pollers.most)
+        self._listen(self.settings.listen, self.pollers.build)
+        if self.settings.admin_addr is not None:
+            self._listen(self.settings.admin_addr, lambda: OperatorsLink(self.operators))
+
+    def feed(self, event: RelayEvent) -> None:
+        """Hand the machine one event and carry out its answer, in order."""
+        actions: list[RelayAction] = []
+        try:
+            actions = self.machine.handle(core_ms(), event)
+        except Exception:
+            self._failed(event)
+        for action in actions:
+            self._carry_out(action)
+
+    def _failed(self, event: RelayEvent) -> None:
+        """A fault must neither end the process nor fill its log; and a timer in which the machine failed may
+        have been its last: it must not stand still for good."""
+        self.faults["machine"] += 1
+        if self.faults["machine"].bit_count() == 1:
+            log.exception("relay-fault", kind=type(event).__name__, times=self.faults["machine"])
+        if isinstance(event, TimerFired):
+            self._later(AGAIN_MS, lambda: self.feed(event))
+
+    def _carry_out(self, action: RelayAction) -> None:
+        match action:
+            case Answer(poller, body):
+                self.pollers.answer(poller, body)
+            case Refuse(poller, why):
+                self.pollers.refuse(poller, why)
+            case SetTimer(in_ms, token):
+                self._later(in_ms, lambda: self.feed(TimerFired(token)))
+            case Told(name, fields):
+                log.info(name, **fields)
+
+    def _later(self, in_ms: float, call: Callable[[], None]) -> None:
+        self.alarm.deadlines.add(core_ms() + in_ms, call)
+
+    def _polled(self, poller: int, poll: Poll) -> None:
+        told = poll.done or 0, poll.behind, poll.names
+        self.feed(Polled(poller, poll.resume, poll.block_ms, poll.epoch, poll.role, poll.name, *told))
+
+    def _gone(self, poller: int) -> None:
+        self.feed(PollerGone(poller))
+
+    def dismiss(self, name: str) -> None:
+        """A router or relay was taken out of service: nobody waits for it any more."""
+        log.info("dismissed", name=name)
+        self.feed(Dismissed(name))
+
+    def take(self, command: Command) -> None:
+        """An event of the upstream, as it was understood."""
+        if isinstance(command, ListChange):
+            hosts = tuple(line_of(host) for host in command.hosts)
+            return self.feed(ListTold(command.cursor, command.seq, command.whole, hosts))
+        key = f"{command.key:016x}" if command.key is not None else None
+        family = command.group if key is None else -1
+        self.feed(PurgeTold(command.cursor, key, family, command.when_ms))
+
+    def confirmed(self, age_ms: float) -> None:
+        """All that was told so far stood so, so long ago."""
+        if math.isfinite(age_ms):
+            self.feed(Confirmed(age_ms))
+
+    def _listen(self, address: tuple[str, int], build: Callable[[], protocol.Protocol]) -> None:
+        """Open a port; one that can't be had ends the program with a message."""
+        opening = server_endpoint(self.reactor, address).listen(Building(build))
+        opening.addCallbacks(self._ports.append, lambda failure: self._no_port(failure.value))
+
+    def _no_port(self, error: object) -> None:
+        log.error("cannot-listen", reason=str(error))
+        self.faulty = True
+        self.reactor.stop()
+
+    def end(self) -> None:
+        """SIGTERM: no new polls; who waits is answered with what there is; then exit 0."""
+        if self.ending:
+            return
+        self.ending = True
+        log.info("relay-ending", open=len(self.pollers.links))
+        for port in self._ports:
+            port.stopListening()
+        self.pollers.end()
+        self._wait_for_readers(core_ms() + END_MS)
+
+    def _wait_for_readers(self, until: float) -> None:
+        if self.pollers.links and core_ms() < until:
+            return self._later(10.0, lambda: self._wait_for_readers(until))
+        log.info("relay-ended", unread=len(self.pollers.links))
+        self.reactor.stop()
+
+    def run(self) -> int:
+        """Until SIGTERM; the exit code."""
+        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.end))
+        signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.end))
+        self.reactor.callWhenRunning(self.start)
+        self.reactor.run(installSignalHandlers=False)
+        return int(self.faulty)
+
+
+def _connections() -> int:
+    """As many as the descriptors that this process may have allow."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < 2 * OWN_DESCRIPTORS and soft != resource.RLIM_INFINITY:
+        raise ConfigError(f"relay: {soft} descriptors are too few, {2 * OWN_DESCRIPTORS} at least")
+    return (
+        MOST_CONNECTIONS if soft == resource.RLIM_INFINITY else min(soft - OWN_DESCRIPTORS, MOST_CONNECTIONS)
+    )
--- /dev/null
+++ b/thornjunction/runtime/relay_view.py
@@ -0,0 +1,77 @@
+"""What a relay tells at its operators' door (``docs/CONTROL.md``)."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import fields
+
+from control_relay import PurgeStanding, Relay, RouterStanding
+
+from thornjunction.net.relay import Pollers
+from thornjunction.net.wire.operators import encode_lines, encode_word
+from thornjunction.net.wire.polls import NAME
+
+
+class RelayView:
+    """The door's calls.  Times of day are Unix ms."""
+
+    def __init__(
+        self, machine: Relay, pollers: Pollers, clock: Callable[[], float], dismiss: Callable[[str], None]
+    ) -> None:
+        self.machine, self.pollers, self.clock, self._dismiss = machine, pollers, clock, dismiss
+        self.calls: Mapping[str, Callable[[], bytes]] = {
+            "check": self._check,
+            "relay": self._relay,
+            "purges": self._purges,
+        }
+        self.named: Mapping[str, Callable[[str], bytes]] = {"dismiss": self._dismissed}
+
+    def _check(self) -> bytes:
+        ready = self.machine.status(self.clock()).ready
+        return encode_word(ready, "" if ready else "no-state")
+
+    def _relay(self) -> bytes:
+        now = self.clock()
+        status = self.machine.status(now)
+        told = {one.name: getattr(status, one.name) for one in fields(status) if one.name != "faults"}
+        told |= {f"faults.{name}": count for name, count in sorted(status.faults.items())}
+        told |= {"connections": len(self.pollers.links), "held_bytes": self.pollers.budget.total}
+        told |= {f"ends.{code}": count for code, count in sorted(self.pollers.ends.items())}
+        figures = (f"relay.{name}={_text(value)}" for name, value in told.items())
+        return encode_lines([*figures, *(self._router(one, now) for one in self.machine.roster(now))])
+
+    def _router(self, one: RouterStanding, now: float) -> str:
+        since = self._unix(one.since, now)
+        return f"behind {one.name} {one.role} {one.state} {since} {one.unconfirmed} {_names(one.names)}"
+
+    def _purges(self) -> bytes:
+        now = self.clock()
+        return encode_lines(self._purge(one, now) for one in self.machine.purges(now))
+
+    def _purge(self, one: PurgeStanding, now: float) -> str:
+        what = one.key if one.key is not None else f"group-{one.family}"
+        when = f"{one.when_ms:.0f}"
+        if one.done_since is not None:
+            return f"purge {what} {when} done {self._unix(one.done_since, now)}"
+        return f"purge {what} {when} waits {one.unconfirmed} {_names(one.names)}"
+
+    def _dismissed(self, name: str) -> bytes:
+        if not NAME.fullmatch(name):
+            return encode_word(False, "not a name")
+        self._dismiss(name)
+        return encode_word(True)
+
+    def _unix(self, at: float, now: float) -> int:
+        """By what both clocks read now."""
+        return round(time.time() * 1000.0 - (now - at))
+
+
+def _text(value: object) -> str:
+    if isinstance(value, bool):
+        return str(int(value))
+    return "-" if value is None else f"{value:.0f}" if isinstance(value, float) else str(value)
+
+
+def _names(names: Iterable[str]) -> str:
+    return ",".join(names) or "-"
