--- a/packages/control-rig/src/control_rig/discovery.py
+++ b/packages/control-rig/src/control_rig/discovery.py
@@ -14,7 +14,7 @@
 
 
 class Discovery:
-    """Tells a list and what follows.  ``polls`` counts; the address stays the same through ``down`` and ``up``."""
+    """Tells a list and what follows.  ``polls`` counts; ``down`` and ``up`` keep the address."""
 
     def __init__(self) -> None:
         self.events: list[Line] = []
--- a/thornjunction/runtime/relay.py
+++ b/thornjunction/runtime/relay.py
@@ -32,10 +32,11 @@
 
 from thornjunction.logs import get_logger
 from thornjunction.net.alarm import Alarm, core_ms
+from thornjunction.net.channel import Channel
 from thornjunction.net.operators import OperatorsDoor, OperatorsLink
 from thornjunction.net.relay import Pollers
 from thornjunction.net.transport import Building, server_endpoint
-from thornjunction.net.wire.commands import Command, ListChange, line_of
+from thornjunction.net.wire.commands import Command, Commands, ListChange, line_of
 from thornjunction.net.wire.polls import Poll
 from thornjunction.runtime.config import ConfigError
 from thornjunction.runtime.control_settings import RelaySettings
@@ -63,6 +64,8 @@
         self.faults, self.ending, self.faulty = Counter[str](), False, False
         view = RelayView(self.machine, self.pollers, core_ms, self.dismiss)
         self.operators = OperatorsDoor(view.calls, deadlines, core_ms, view.named)
+        self.upstream = Upstream(reactor, settings.upstreams[0], deadlines, core_ms, self.take, lambda: None)
+        self.upstream.confirmed = self.confirmed
         self._ports: list[Any] = []
 
     def start(self) -> None:
@@ -72,6 +75,7 @@
         self._listen(self.settings.listen, self.pollers.build)
         if self.settings.admin_addr is not None:
             self._listen(self.settings.admin_addr, lambda: OperatorsLink(self.operators))
+        self.upstream.start()
 
     def feed(self, event: RelayEvent) -> None:
         """Hand the machine one event and carry out its answer, in order."""
@@ -146,7 +150,7 @@
         """SIGTERM: no new polls; who waits is answered with what there is; then exit 0."""
         if self.ending:
             return
-        self.ending = True
+        self.ending = self.upstream.stopped = True
         log.info("relay-ending", open=len(self.pollers.links))
         for port in self._ports:
             port.stopListening()
@@ -168,6 +172,14 @@
         return int(self.faulty)
 
 
+class Upstream(Channel):
+    confirmed: Callable[[float], None]
+
+    def answered(self, commands: Commands, steady: bool = False) -> None:
+        super().answered(commands, steady)
+        self.confirmed(commands.age_ms or 0.0)
+
+
 def _connections() -> int:
     """As many as the descriptors that this process may have allow."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
