--- a/packages/control-rig/src/control_rig/link.py
+++ b/packages/control-rig/src/control_rig/link.py
@@ -3,44 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
+
+from control_rig.server import Server
 
 PIECE = 65_536
 
 
-class Link:
-    """Listens on a free port and passes on to ``target``.  ``forth`` is the way to the target, ``back`` the
-    one from it; ``delay_s`` holds for both."""
+class Link(Server):
+    """Passes on to ``target``.  ``forth`` is the way to the target, ``back`` the one from it; ``delay_s``
+    holds for both.  ``cut_back_at``: so many bytes more come back, then that connection is reset."""
 
     def __init__(self, target: str) -> None:
+        super().__init__()
         host, _, port = target.rpartition(":")
-        self.target, self.port = (host, int(port)), 0
-        self.delay_s, self.passed = 0.0, 0  # bytes, both ways
+        self.target = host, int(port)
+        self.delay_s, self.dials = 0.0, 0
+        self.cut_back_at: int | None = None
         self.forth, self.back = asyncio.Event(), asyncio.Event()
-        self.forth.set()
-        self.back.set()
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    @property
-    def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
-
-    async def up(self) -> None:
-        """Listen, at the same port as before."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def down(self) -> None:
-        """Refuse, and reset all that is connected."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
-        for writer in list(self._writers):
-            writer.transport.abort()
-        for task in list(self._tasks):
-            task.cancel()
+        self.heal()
 
     def cut(self, forth: bool = True, back: bool = True) -> None:
         """Hold back what goes these ways; connections stay, and new ones come up."""
@@ -53,37 +33,34 @@
         self.forth.set()
         self.back.set()
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.dials += 1
+        far_reader, far_writer = await asyncio.open_connection(*self.target)
+        ways = [
+            asyncio.ensure_future(self._pass(reader, far_writer, self.forth)),
+            asyncio.ensure_future(self._pass(far_reader, writer, self.back)),
+        ]
         try:
-            far_reader, far_writer = await asyncio.open_connection(*self.target)
-        except OSError:
-            self._end(writer)
-            return
-        self._writers.add(far_writer)
-        for pump in (self._pump(reader, far_writer, self.forth), self._pump(far_reader, writer, self.back)):
-            task = asyncio.ensure_future(pump)
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for way in ways:
+                way.cancel()
+            await asyncio.gather(*ways, return_exceptions=True)
+            far_writer.close()
 
-    async def _pump(
+    async def _pass(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: asyncio.Event
     ) -> None:
-        try:
-            while data := await reader.read(PIECE):
-                await way.wait()
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                self.passed += len(data)
-                writer.write(data)
-                await writer.drain()
+        while data := await reader.read(PIECE):
             await way.wait()
-        except OSError:
-            pass
-        finally:
-            self._end(writer)
-
-    def _end(self, writer: asyncio.StreamWriter) -> None:
-        self._writers.discard(writer)
-        with suppress(OSError):
-            writer.close()
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            if way is self.back and self.cut_back_at is not None:
+                data, left = data[: self.cut_back_at], self.cut_back_at - len(data)
+                self.cut_back_at = left if left > 0 else None
+                if left <= 0:
+                    writer.write(data)
+                    return await writer.drain()
+            writer.write(data)
+            await writer.drain()
+        await way.wait()
--- /dev/null
+++ b/packages/control-rig/src/control_rig/stage.py
@@ -0,0 +1,118 @@
+"""The common scene: a discovery, two relays, and routers that have both as their sources, in this order."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Sequence
+from pathlib import Path
+
+from control_rig.rig import Relay, Rig, Router
+
+REQUESTS = 6  # of a look at who serves
+
+
+class Stage(Rig):
+    """Relay N hears discovery through ``ups[N]``, and the routers reach it through ``downs[N]``.
+
+    ``shelfs`` is how many are listed, as routers show at their doors; ``purged`` the last object purged."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.relays: list[Relay] = []
+        self.routers: list[Router] = []
+        self._names = itertools.count(1)
+        self.shelfs = self.purged = 0
+
+    async def open(self, routers: int = 2, relays: int = 2, **more: object) -> None:
+        """Start all, and wait until the routers know the list."""
+        self.edges = [await self.shelf(f"edge{number}") for number in (1, 2)]
+        self.origin = await self.shelf("origin", "root")
+        await self.discovery.tell_list([one.line() for one in (*self.edges, self.origin)], whole=True)
+        self.shelfs = 3
+        self.relays = [self.relay(f"relay-{number}") for number in range(relays)]
+        self.ups = [await self.link(self.discovery.address) for _ in self.relays]
+        self.downs = [await self.link(relay.listen) for relay in self.relays]
+        for place, relay in enumerate(self.relays):
+            siblings = [other.listen for other in self.relays if other is not relay]
+            relay.settle([self.ups[place].address], siblings=siblings, **more)
+            relay.start()
+        self.routers = [self.router(f"router-{number}") for number in range(routers)]
+        for router in self.routers:
+            router.settle([link.address for link in self.downs])
+            router.start()
+        await self.ready(*self.relays)
+        await self.listed(self.routers)
+
+    async def ready(self, *relays: Relay) -> None:
+        """They have a state."""
+
+        async def holds() -> bool:
+            return all([await relay.call("check") == ["ACK"] for relay in relays])
+
+        await self.until(holds, "relays are ready")
+
+    async def listed(self, routers: Sequence[Router]) -> None:
+        """They have as many shelfs as are listed."""
+
+        async def holds() -> bool:
+            told = await asyncio.gather(*(router.figures() for router in routers))
+            return all(figures.get("registry_entries") == self.shelfs for figures in told)
+
+        await self.until(holds, f"{[router.name for router in routers]} know {self.shelfs} shelfs")
+
+    async def news(self) -> None:
+        """One shelf more, which serves nothing, and a purge."""
+        self.shelfs += 1
+        self.purged = next(self._names)
+        line = self.origin.line("leaving") | {"host": f"more-{self.shelfs}", "class": "box"}
+        await self.discovery.tell_list([line])
+        await self.discovery.purge(self.purged)
+
+    async def known(self, *relays: Relay) -> None:
+        """The last news at all routers: by their own doors; and by these relays', which serve all of them."""
+        await self.listed(self.routers)
+
+        async def holds() -> bool:
+            present = 0
+            for relay in relays:
+                if not any(
+                    f" {self.purged:016x} " in line and " done " in line for line in await relay.purges()
+                ):
+                    return False
+                present += int((await relay.status())["present"])
+            return present == len(self.routers)
+
+        await self.until(holds, f"purge {self.purged} is done at {[relay.name for relay in relays]}")
+
+    async def moved(self, relay: Relay) -> None:
+        """All routers poll this relay."""
+
+        async def holds() -> bool:
+            return (await relay.status()).get("present") == str(len(self.routers))
+
+        await self.until(holds, f"all routers poll {relay.name}")
+
+    async def drain(self) -> None:
+        """The edge that serves is told as leaving; all routers use the other one."""
+        (served,) = await self.servers()
+        edge = next(edge for edge in self.edges if edge.name == served)
+        await self.discovery.tell_list([edge.line("leaving")])
+        self.drained = edge
+
+        async def holds() -> bool:
+            return await self.servers() == {next(one.name for one in self.edges if one is not edge)}
+
+        await self.until(holds, f"no router asks {served}")
+
+    async def servers(self) -> set[str]:
+        """Who serves requests now, of all routers."""
+        asking = [router.get() for router in self.routers for _ in range(REQUESTS)]
+        return set(await asyncio.gather(*asking))
+
+    async def obeyed(self) -> None:
+        """No request goes to the drained edge; every one is served."""
+        wants = self.drained.wants
+        served = await self.servers()
+        assert served == {edge.name for edge in self.edges if edge is not self.drained}, served
+        assert self.drained.wants == wants
