--- a/packages/control-rig/src/control_rig/rig.py
+++ b/packages/control-rig/src/control_rig/rig.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from random import Random
 from socket import socket
-from typing import Any, TypeVar
+from typing import Any, Self, TypeVar
 
 from control_rig.discovery import Discovery
 from control_rig.link import Link
@@ -131,7 +131,7 @@
         self.shelves: list[Shelf] = []
         self.links: list[Link] = []
 
-    async def __aenter__(self) -> Rig:
+    async def __aenter__(self) -> Self:
         await self.discovery.up()
         return self
 
--- a/thornjunction/runtime/control_settings.py
+++ b/thornjunction/runtime/control_settings.py
@@ -6,6 +6,7 @@
 import tomllib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
+from importlib.util import find_spec
 from pathlib import Path
 
 from thornjunction.runtime.addresses import Address, check_name, near_address
@@ -58,6 +59,8 @@
         top = Params(tomllib.loads(path.read_text(encoding="utf-8")))
         if "relay" not in top.data:
             return None
+        if find_spec("control_relay") is None:
+            raise ConfigError("relay: its packages are not installed (packages/)")
         settings, door = read_relay(top), environ.get("PROXY_ADMIN_ADDR", "")
         return replace(settings, admin_addr=address_of("PROXY_ADMIN_ADDR", door)) if door else settings
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, WireError, ConfigError) as error:
