--- a/packages/control-rig/src/control_rig/discovery.py
+++ b/packages/control-rig/src/control_rig/discovery.py
@@ -22,7 +22,6 @@
         super().__init__()
         self.events: list[Line] = []
         self.polls = 0
-        self.cut_at: int | None = None  # bytes of the next answer that has events; then its connection ends
         self._seq = 0
         self._news = asyncio.Condition()
 
@@ -60,14 +59,8 @@
             query = parse_qs(urlsplit(head.split(" ")[1]).query)
             resume = int(query["resume"][0])
             await self._news_after(resume, float(query["block"][0]) / 1000.0)
-            events = self.events[resume:]
-            body = json.dumps({"cursor": self.cursor, "cmds": events}).encode()
-            data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-            if events and self.cut_at is not None:
-                writer.write(data[: self.cut_at])
-                self.cut_at = None
-                return await writer.drain()
-            writer.write(data)
+            body = json.dumps({"cursor": self.cursor, "cmds": self.events[resume:]}).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await writer.drain()
 
     async def _news_after(self, resume: int, block_s: float) -> None:
--- a/packages/control-rig/src/control_rig/link.py
+++ b/packages/control-rig/src/control_rig/link.py
@@ -3,22 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 from control_rig.server import Server
 
 PIECE = 65_536
+EVENTS = re.compile(rb'"cmds": ?\[(?=\{)')
 
 
 class Link(Server):
     """Passes on to ``target``.  ``forth`` is the way to the target, ``back`` the one from it; ``delay_s``
-    holds for both.  ``cut_back_at``: so many bytes more come back, then that connection is reset."""
+    holds for both.  ``cut_events``: the next answer with events comes back up to so many bytes of the first,
+    then its connection ends; None again once that has happened."""
 
     def __init__(self, target: str) -> None:
         super().__init__()
         host, _, port = target.rpartition(":")
         self.target = host, int(port)
         self.delay_s, self.dials = 0.0, 0
-        self.cut_back_at: int | None = None
+        self.cut_events: int | None = None
         self.forth, self.back = asyncio.Event(), asyncio.Event()
         self.heal()
 
@@ -55,12 +58,10 @@
             await way.wait()
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
-            if way is self.back and self.cut_back_at is not None:
-                data, left = data[: self.cut_back_at], self.cut_back_at - len(data)
-                self.cut_back_at = left if left > 0 else None
-                if left <= 0:
-                    writer.write(data)
-                    return await writer.drain()
+            if way is self.back and self.cut_events is not None and (begun := EVENTS.search(data)):
+                writer.write(data[: begun.end() + self.cut_events])
+                self.cut_events = None
+                return await writer.drain()
             writer.write(data)
             await writer.drain()
         await way.wait()
--- a/packages/control-rig/src/control_rig/rig.py
+++ b/packages/control-rig/src/control_rig/rig.py
@@ -16,13 +16,14 @@
 from control_rig.link import Link
 from control_rig.process import Process
 from control_rig.shelf import Shelf
-from thornjunction.demo.bare import asked
+from thornjunction.demo.clients import fastcgi_request
 from thornjunction.demo.start import SETTINGS
 from thornjunction.net.wire import fastcgi
 
 WITHIN_S = 30.0  # for a thing that has to happen; on an idle machine most take well under one
 AGAIN_S = 0.02
 CALL_S = 5.0
+PARAMS = {"SCRIPT_NAME": "/do/clips", "HTTP_X_TTL_MS": "1500", "HTTP_X_WORKING_SET_KB": "412.5"}
 
 
 def free_addresses(count: int) -> list[str]:
@@ -77,7 +78,8 @@
 
     async def status(self) -> dict[str, str]:
         """``relay``, by name."""
-        return _pairs(await self.call("relay"))
+        told = _pairs(await self.call("relay"))
+        return {key.removeprefix("relay."): value for key, value in told.items()}
 
     async def purges(self) -> list[str]:
         """``purges``, a line each."""
@@ -93,7 +95,6 @@
         told: dict[str, Any] = {"name": name, "listen": self.front, "admin_addr": door, "channel": channel}
         told |= {"settings": SETTINGS, "limits": {"sockets": 90}, "known": {"cursor": 0, "cmds": []}}
         (folder / "config.json").write_text(json.dumps(told))
-        self.asked = 0
 
     def settle(self, sources: Sequence[str]) -> None:
         """Write its operators' file."""
@@ -104,14 +105,13 @@
         told = _pairs(await self.call("vars"))
         return {key.removeprefix("router."): int(value) for key, value in told.items()}
 
-    async def get(self, timeout_s: float = CALL_S) -> str:
-        """One request through the front: the name of the shelf that served it; else the answer's status."""
+    async def get(self, name: int = 1, timeout_s: float = CALL_S) -> str:
+        """One request for an object through the front: the shelf that served it; else the answer's status."""
         host, _, port = self.front.rpartition(":")
-        self.asked += 1
         body, told, records = b"", b"", fastcgi.RecordReader()
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(asked(1, "clips", HTTP_X_TXN=f"{time.monotonic_ns():016x}"))
+            writer.write(_request(name))
             ended = False
             while not ended and (data := await reader.read(65_536)):
                 for record in records.feed(data):
@@ -194,6 +194,11 @@
             member.signal(number)
 
 
+def _request(name: int) -> bytes:
+    more = {"HTTP_X_TXN": f"{time.monotonic_ns():016x}", "HTTP_X_ROW": f"{name:016x}"}
+    return fastcgi_request(1, PARAMS | more)
+
+
 def _pairs(lines: Sequence[str]) -> dict[str, str]:
     """``NAME=VALUE`` lines."""
     return {name: value for name, mark, value in (line.partition("=") for line in lines) if mark}
--- a/packages/control-rig/src/control_rig/stage.py
+++ b/packages/control-rig/src/control_rig/stage.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import itertools
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
 from control_rig.rig import Relay, Rig, Router
+from control_rig.shelf import Shelf
 
-REQUESTS = 6  # of a look at who serves
+Scene = Callable[["Stage"], Awaitable[None]]
+Play = Callable[[Scene], None]
+WITHIN_S = 60.0  # for a scene
+OBJECTS = 12  # that are asked for in a look at who serves
 
 
 class Stage(Rig):
@@ -23,6 +27,7 @@
         self.routers: list[Router] = []
         self._names = itertools.count(1)
         self.shelfs = self.purged = 0
+        self.extra = 0  # pollers beside the routers
 
     async def open(self, routers: int = 2, relays: int = 2, **more: object) -> None:
         """Start all, and wait until the routers know the list."""
@@ -81,7 +86,7 @@
                 ):
                     return False
                 present += int((await relay.status())["present"])
-            return present == len(self.routers)
+            return present == len(self.routers) + self.extra
 
         await self.until(holds, f"purge {self.purged} is done at {[relay.name for relay in relays]}")
 
@@ -94,20 +99,23 @@
         await self.until(holds, f"all routers poll {relay.name}")
 
     async def drain(self) -> None:
-        """The edge that serves is told as leaving; all routers use the other one."""
-        (served,) = await self.servers()
-        edge = next(edge for edge in self.edges if edge.name == served)
-        await self.discovery.tell_list([edge.line("leaving")])
-        self.drained = edge
+        """The first edge is told as leaving; all routers, which used both, use the other one."""
+        self.drained, other = self.edges
+        await self.served_by(*self.edges)
+        await self.discovery.tell_list([self.drained.line("leaving")])
+        await self.served_by(other)
+
+    async def served_by(self, *shelves: Shelf) -> None:
+        """All routers' requests go to these, each of which has some."""
 
         async def holds() -> bool:
-            return await self.servers() == {next(one.name for one in self.edges if one is not edge)}
+            return await self.servers() == {shelf.name for shelf in shelves}
 
-        await self.until(holds, f"no router asks {served}")
+        await self.until(holds, f"requests go to {[shelf.name for shelf in shelves]}")
 
     async def servers(self) -> set[str]:
-        """Who serves requests now, of all routers."""
-        asking = [router.get() for router in self.routers for _ in range(REQUESTS)]
+        """Who serves requests now, of all routers together."""
+        asking = [router.get(name) for router in self.routers for name in range(OBJECTS)]
         return set(await asyncio.gather(*asking))
 
     async def obeyed(self) -> None:
@@ -116,3 +124,13 @@
         served = await self.servers()
         assert served == {edge.name for edge in self.edges if edge is not self.drained}, served
         assert self.drained.wants == wants
+
+
+def play(folder: Path, scene: Scene) -> None:
+    """Plays a scene, and ends its processes whatever happens."""
+
+    async def whole() -> None:
+        async with asyncio.timeout(WITHIN_S), Stage(folder) as stage:
+            await scene(stage)
+
+    asyncio.run(whole())
--- /dev/null
+++ b/packages/control-rig/tests/test_control_behind.py
@@ -0,0 +1,83 @@
+"""Routers that fall behind, and many that come at once, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import pytest
+from control_rig.poller import Poller
+from control_rig.stage import Play, Stage
+
+CHANGES = 1_100  # of the list: more than a relay's log keeps
+POLLERS = 100
+
+
+def test_a_router_is_paused_for_longer_than_the_log(play: Play) -> None:
+    """It gets the whole state, with the drain that it did not hear of, and confirms what it holds then."""
+
+    async def scene(stage: Stage) -> None:
+        await stage.open(hold_ms=1000)
+        paused, other = stage.routers
+        paused.signal(signal.SIGSTOP)
+        stage.routers = [other]
+        await stage.drain()
+        line = stage.origin.line("leaving") | {"host": "more", "class": "box"}
+        for share in range(CHANGES):
+            await stage.discovery.tell_list([line | {"share": share}])
+        stage.shelfs += 1
+        await stage.news()
+        await stage.listed([other])
+        paused.signal(signal.SIGCONT)
+        stage.routers = [paused, other]
+        await stage.news()
+        await stage.known(*stage.relays)
+        await stage.obeyed()
+
+    play(scene)
+
+
+def test_many_routers_come_back_at_once(play: Play) -> None:
+    """All connections of a relay are reset in one moment; each router hears each event once, in order, and
+    discovery notices nothing."""
+
+    async def scene(stage: Stage) -> None:
+        await stage.open()
+        pollers = [Poller(stage.downs[0].address, f"poller-{number}") for number in range(POLLERS)]
+        stage.extra = POLLERS
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(poller.run()) for poller in pollers]
+            await stage.news()
+            await stage.known(*stage.relays)
+            dials, polls = stage.downs[0].dials, stage.discovery.polls
+            await stage.downs[0].down()
+            await stage.news()
+            await stage.downs[0].up()
+            await stage.known(*stage.relays)
+            assert stage.discovery.polls - polls < 40, "reconnecting routers reached discovery"
+            assert stage.downs[0].dials - dials >= POLLERS
+            for poller in pollers:
+                assert poller.purges == [1, 2] and poller.disorder == 0, (poller.purges, poller.disorder)
+            for task in tasks:
+                task.cancel()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("below", [True, False], ids=["of a relay", "of discovery"])
+def test_an_answer_is_cut_in_the_middle_of_an_event(below: bool, play: Play) -> None:
+    """What came whole is not told again, and what did not comes: nobody goes on from a number in between."""
+
+    async def scene(stage: Stage) -> None:
+        await stage.open()
+        links = stage.downs if below else stage.ups
+        for link in links:
+            link.cut_events = 30
+        for _ in range(3):
+            await stage.news()
+        await stage.known(*stage.relays)
+        assert any(link.cut_events is None for link in links)
+        await stage.drain()
+        await stage.obeyed()
+
+    play(scene)
--- a/packages/control-rig/tests/test_control_faults.py
+++ b/packages/control-rig/tests/test_control_faults.py
@@ -2,32 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import signal
-from collections.abc import Awaitable, Callable
-from pathlib import Path
 
 import pytest
-from control_rig.stage import Stage
-
-WITHIN_S = 60.0
-
-
-@pytest.fixture
-def play(tmp_path: Path) -> Callable[[Callable[[Stage], Awaitable[None]]], None]:
-    """Plays a scene, and ends its processes whatever happens."""
-
-    def run(scene: Callable[[Stage], Awaitable[None]]) -> None:
-        async def whole() -> None:
-            async with asyncio.timeout(WITHIN_S), Stage(tmp_path) as stage:
-                await scene(stage)
-
-        asyncio.run(whole())
-
-    return run
-
-
-Play = Callable[[Callable[[Stage], Awaitable[None]]], None]
+from control_rig.stage import Play, Stage
 
 
 def test_a_relay_is_killed_and_starts_empty(play: Play) -> None:
--- a/thornjunction/net/wire/polls.py
+++ b/thornjunction/net/wire/polls.py
@@ -11,7 +11,7 @@
 PATH = "/cmd/next"
 MAX_TARGET, MOST_PAIRS, MOST_NAMES = 1024, 16, 8
 MOST_BLOCK_MS = 5_000  # the protocol's
-ROLES = "router", "relay", "sibling"
+ROLES = "router", "relay", "sibling", "probe"
 NAME, NUMBER = re.compile(r"[A-Za-z0-9._-]{1,32}"), re.compile(r"[0-9]{1,16}")
 LARGEST = 1 << 53
 
--- a/thornjunction/runtime/relay.py
+++ b/thornjunction/runtime/relay.py
@@ -111,11 +111,16 @@
         self.alarm.deadlines.add(core_ms() + in_ms, call)
 
     def _polled(self, poller: int, poll: Poll) -> None:
+        if poll.role == "probe" and poll.name:
+            # Guards what is done against waiting for ever for who is served elsewhere now.
+            self.feed(Dismissed(poll.name))
         told = poll.done or 0, poll.behind, poll.names
         self.feed(Polled(poller, poll.resume, poll.block_ms, poll.epoch, poll.role, poll.name, *told))
 
     def _gone(self, poller: int) -> None:
         self.feed(PollerGone(poller))
+        # A connection without a name can't come back: who asks again counts as another.
+        self.feed(Dismissed(f"#{poller}"))
 
     def dismiss(self, name: str) -> None:
         """A router or relay was taken out of service: nobody waits for it any more."""
