--- a/thornjunction/net/relay.py
+++ b/thornjunction/net/relay.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 
 from twisted.internet import protocol
 from twisted.internet.interfaces import IPullProducer
@@ -25,7 +26,11 @@
 SILENT_MS = 10_000.0  # for the next whole poll; a router that works asks again at once
 UNREAD_MS = 4_000.0  # for an answer to be read
 MAX_HEAD = 2_048  # bytes of a poll with its headers
-HELD_BYTES = 16 << 20  # of unread answers, of all connections together: past it the greatest is closed
+HELD_BYTES = 128 << 20  # of unread answers together: past it the greatest is closed; a whole list of 440
+# shelfs for 1,200 routers that come at once is 94 MB, though most of them share one
+PIECE = (
+    32_768  # bytes of an answer that are copied for a connection at once; the rest stays where all share it
+)
 JSON = {"Content-Type": "application/json"}
 
 log = get_logger(__name__)
@@ -109,8 +114,8 @@
         self.number: int | None = None
         self.poll: Poll | None = None  # that waits for its answer
         self.code, self.since = "", pollers.clock()  # when it last asked, was answered, or read its answer
-        self.unread = b""  # the answer that the system has not taken whole
-        self._written = self.keeps = False
+        self.keeps = False
+        self._head, self._body, self._at = b"", b"", 0  # the answer, and how much of its body was written
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
@@ -121,7 +126,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.code:
             return
-        if self.poll is not None or self.unread:
+        if self.poll is not None or self._head:
             # Guards what is held against polls that come before the answer to the last one was read.
             return self.close("unanswered-poll")
         try:
@@ -153,26 +158,31 @@
         if self.poll is None or self.code:
             return
         self.poll, keep = None, status == 200 and self.keeps and not self.pollers.ending
-        self._write(http1.encode_response(http1.HttpResponse(status, JSON, body, keep)))
+        self._write(http1.HttpResponse(status, JSON, body, keep))
         if not keep:
             self.leave("answered" if status == 200 else f"status-{status}")
 
     def _reject(self, status: int, code: str) -> None:
-        self._write(http1.encode_response(http1.HttpResponse(status, {}, b"", False)))
+        self._write(http1.HttpResponse(status, {}, b"", False))
         self.leave(code)
 
-    def _write(self, data: bytes) -> None:
-        self.unread, self._written, self.since = data, False, self.pollers.clock()
-        self.pollers.budget.hold(self.close, len(data))
+    def _write(self, response: http1.HttpResponse) -> None:
+        self._body, self._at, self.since = response.body, 0, self.pollers.clock()
+        self._head = http1.encode_response(replace(response, head=True))
+        self.pollers.budget.hold(self.close, len(self._head) + len(self._body))
         if not self.code:
             self.transport.registerProducer(self, False)
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """The system can take more: first the answer, then nothing, for it has all of it."""
-        if not self._written:
-            self._written = True
-            return self.transport.write(self.unread)
-        self.unread, self.since = b"", self.pollers.clock()
+        """The system has taken what was written: the next piece, or the end."""
+        first = self._head if self._at == 0 else b""
+        piece = self._body[self._at : self._at + PIECE]
+        if first or piece:
+            # An answer without a body has one byte of it "written" too, so that its head goes out once.
+            self._at += max(len(piece), 1)
+            return self.transport.write(first + piece)
+        self._head = self._body = b""
+        self.since = self.pollers.clock()
         self.transport.unregisterProducer()
         self.pollers.budget.hold(self.close, 0)
 
@@ -181,7 +191,7 @@
 
     def look(self, now: float) -> None:
         """Close who holds a descriptor and asks nothing, or holds an answer and does not read it."""
-        if self.unread and now - self.since > UNREAD_MS:
+        if self._head and now - self.since > UNREAD_MS:
             self.close("unread")
         elif self.poll is None and now - self.since > SILENT_MS:
             self.close("silent")
