--- a/tests/test_relay_endpoint.py
+++ b/tests/test_relay_endpoint.py
@@ -13,7 +13,7 @@
 
 from thornjunction.demo.rig import until
 from thornjunction.memory.deadlines import Deadlines
-from thornjunction.net.relay import LOOK_MS, MAX_HEAD, SILENT_MS, UNREAD_MS, Pollers
+from thornjunction.net.relay import LOOK_MS, MAX_HEAD, PIECE, SILENT_MS, UNREAD_MS, Pollers
 from thornjunction.net.transport import Building
 from thornjunction.net.wire import ProtocolError
 from thornjunction.net.wire.polls import MOST_PAIRS, Poll, decode_poll
@@ -148,6 +148,19 @@
         yield until(lambda: self.gone)
         self.assertEqual((self.gone, self.pollers.budget.total), ([link.number or 1], 0))
 
+    @inlineCallbacks
+    def test_an_answer_of_many_pieces_comes_whole_and_the_next_poll_after_it(self) -> Any:
+        client, link = yield self.connected(POLL)
+        for size in (PIECE - 1, PIECE, 3 * PIECE + 1, 0):
+            body = bytes(number % 251 for number in range(size))
+            self.pollers.answer(link.number, body)
+            told = yield self.heard(client, lambda got, body=body: got.endswith(b"\r\n\r\n" + body))
+            self.assertIn(b"Content-Length: %d\r\n" % size, told)
+            asked = len(self.asked)
+            client.sendall(POLL)
+            yield until(lambda asked=asked: len(self.asked) > asked)
+        self.assertEqual(self.pollers.budget.total, 0)
+
     @inlineCallbacks
     def test_no_state_is_told_and_the_connection_ends(self) -> Any:
         client, link = yield self.connected(POLL)
--- a/thornjunction/net/relay.py
+++ b/thornjunction/net/relay.py
@@ -28,9 +28,7 @@
 MAX_HEAD = 2_048  # bytes of a poll with its headers
 HELD_BYTES = 128 << 20  # of unread answers together: past it the greatest is closed; a whole list of 440
 # shelfs for 1,200 routers that come at once is 94 MB, though most of them share one
-PIECE = (
-    32_768  # bytes of an answer that are copied for a connection at once; the rest stays where all share it
-)
+PIECE = 32_768  # bytes of an answer that are copied for a connection at once; all share the rest
 JSON = {"Content-Type": "application/json"}
 
 log = get_logger(__name__)
