--- a/packages/control-sources/src/control_sources/follower.py
+++ b/packages/control-sources/src/control_sources/follower.py
@@ -72,10 +72,12 @@
         lists = [event for event in taken if isinstance(event, ListEvent)]
         return Taken((*lists, *([whole] if whole is not None else []), *purges), standing)
 
-    def begin(self, now: float, epoch: str, age_ms: float, cursor: int) -> None:
-        """An answer to the last poll begins."""
+    def begin(self, now: float, epoch: str, age_ms: float, cursor: int | None) -> None:
+        """An answer to the last poll begins.  ``cursor`` is None where that comes behind the events only;
+        then nothing is taken for a new start of discovery."""
         age = max(age_ms, 0.0)
         self._now, self._latest, self._earliest = now, now - age, min(self._asked_at, now) - age
+        cursor = cursor if cursor is not None else max(self.cursor, self._asked_from)
         self._last, self._reached, self._foreign = cursor, -1, False
         if epoch != self.epoch:
             self._enter(epoch)
@@ -99,8 +101,10 @@
             return False
         return self._change(event)
 
-    def end(self) -> tuple[ListEvent | None, Standing]:
-        """The answer has come whole: the list that is to be applied, if any, and how the source stands."""
+    def end(self, cursor: int | None = None) -> tuple[ListEvent | None, Standing]:
+        """The answer has come whole: the list that is to be applied, if any, and how the source stands.
+        ``cursor`` where it was not known at the beginning."""
+        self._last = self._last if cursor is None else cursor
         behind = self._last < self._floor  # it says that it has not told what we have from it
         if self._foreign or behind or 0 <= self._reached < self._last:
             return None, Standing.MORE
--- a/thornjunction/net/catch_up.py
+++ b/thornjunction/net/catch_up.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from thornjunction.net.wire import ProtocolError
-from thornjunction.net.wire.commands import TOLD_FAULTS, Commands
+from thornjunction.net.wire.commands import TOLD_FAULTS, Commands, read_head
 from thornjunction.net.wire.long_answer import LongAnswer
 
 SHORT = 65_536  # bytes of body: what is no longer is read whole, at once
@@ -59,6 +59,10 @@
         head = self._answer.end()
         return Commands(head.cursor, (), tuple(self._faults), head.epoch, head.age_ms)
 
+    def head(self) -> Commands | None:
+        """What the answer said before its events; None where its cursor has not come."""
+        return read_head(self._answer.told) if self._told() is not None else None
+
     def drop(self) -> None:
         self._answer.drop()
         self._waiting.clear()
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -17,7 +17,7 @@
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.backoff import grown, worth_logging
 from thornjunction.net.catch_up import SHORT
-from thornjunction.net.channel_link import ChannelLink
+from thornjunction.net.channel_link import BLOCK_MS, SILENT_MS, ChannelLink
 from thornjunction.net.endings import log_end
 from thornjunction.net.new_numbers import Departed, NewNumbers, is_new_start
 from thornjunction.net.transport import dial
@@ -36,6 +36,9 @@
 class Channel:
     """Keeps one connection to the command channel and the number of the last event taken in."""
 
+    block_ms: float = BLOCK_MS  # of a poll
+    silent_ms: float = SILENT_MS  # how much later its answer may come
+
     def __init__(
         self,
         reactor: Any,
@@ -67,6 +70,15 @@
         self._asked = self.cursor
         return 0 if self._numbers.asking else self.cursor
 
+    def target(self, block_ms: float) -> str:
+        """Of the next poll."""
+        return f"/cmd/next?resume={self.ask()}&block={block_ms:.0f}"
+
+    @property
+    def doubtful(self) -> bool:
+        """Whether the first poll of a connection asks what stands now."""
+        return self.failures > 0 or not self.current
+
     @property
     def still(self) -> bool:
         """Whether nothing new has come since the last poll."""
--- a/thornjunction/net/channel_link.py
+++ b/thornjunction/net/channel_link.py
@@ -46,10 +46,9 @@
 
     def poll(self) -> None:
         channel, self.asked = self.channel, True
-        doubtful = self.polls == 0 and (channel.failures > 0 or not channel.current)
-        self.block, self.sent_at = (AT_ONCE_MS if doubtful else BLOCK_MS), channel.clock()
-        target = f"/cmd/next?resume={channel.ask()}&block={self.block:.0f}"
-        self.transport.write(http1.encode_get(target, channel.host))
+        doubtful = self.polls == 0 and channel.doubtful
+        self.block, self.sent_at = (AT_ONCE_MS if doubtful else channel.block_ms), channel.clock()
+        self.transport.write(http1.encode_get(channel.target(self.block), channel.host))
         # Guards against a cut path: a poll that is not answered says nothing.
         self._expect(self.sent_at + self.block)
 
@@ -57,7 +56,7 @@
         """The answer, or the next piece of it, from then on."""
         channel = self.channel
         channel.deadlines.cancel(self.timer)
-        self.due = start + grown(SILENT_MS, channel.silences, MOST_SILENT_MS)
+        self.due = start + grown(channel.silent_ms, channel.silences, MOST_SILENT_MS)
         if self.long is not None:
             self.due = min(self.due, self.long.until)
         self.timer = channel.deadlines.add(self.due, self._overdue)
@@ -133,12 +132,14 @@
         channel, now, long = self.channel, self.channel.clock(), self.long
         channel.deadlines.cancel(self.timer)
         self.polls, self.asked, self.long = self.polls + 1, False, None
-        channel.answered(commands, steady=now - self.since >= BLOCK_MS)
+        channel.answered(commands, steady=now - self.since >= channel.block_ms)
+        if self.code:  # the answer was a reason to go elsewhere
+            return
         if self.reader.held:
             raise ProtocolError("unasked")
         if not self.keep:
             raise ProtocolError("no-keep-alive")
-        quick = long is not None or now - self.sent_at < self.block - BLOCK_MS / 2
+        quick = long is not None or now - self.sent_at < self.block - channel.block_ms / 2
         early = channel.still and quick
         self.empty = self.empty + 1 if early else 0
         channel.read(long.wasted if early and long is not None else 0)
@@ -165,7 +166,7 @@
         channel.deadlines.cancel(self.timer)
         channel.deadlines.cancel(self.turn)
         channel.link = None
-        lived = self.polls > 0 and channel.clock() - self.since >= BLOCK_MS
+        lived = self.polls > 0 and channel.clock() - self.since >= channel.block_ms
         steady = self.code == "moved" or (lived and self.code != "silent")
         if self.long is not None:
             steady = steady or not channel.still
--- /dev/null
+++ b/thornjunction/net/sourced_channel.py
@@ -0,0 +1,284 @@
+"""The command channel at several sources: relays, or discovery itself (``docs/design/control.md``).
+
+Which of them is polled, and what is taken of what it tells, the machines of ``control_sources`` decide; this
+carries it out.  Imported only where the operators' file has ``[control]`` or ``[relay]``."""
+
+from __future__ import annotations
+
+import math
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+from control_sources import (
+    Answered,
+    Ask,
+    Event,
+    Failed,
+    Follower,
+    Leave,
+    ListEvent,
+    Polled,
+    Probe,
+    PurgeEvent,
+    Sources,
+    SourcesAction,
+    SourcesEvent,
+    Standing,
+)
+from fleet_seam import Address, SetTimer, Started, TimerFired, Told
+
+from thornjunction import interface as api
+from thornjunction.logs import get_logger
+from thornjunction.memory.deadlines import Deadlines
+from thornjunction.net.backoff import worth_logging
+from thornjunction.net.channel import Channel
+from thornjunction.net.probe import probe
+from thornjunction.net.wire import ProtocolError
+from thornjunction.net.wire.commands import Command, Commands, ListChange, read_piece
+
+POLL_MS, PATIENCE_MS = 800.0, 500.0  # of one poll; how much later its answer may come
+FAREWELL_MS, MOST_FAREWELL_MS = 2000.0, 60_000.0  # between tries to tell a source that it was left
+
+log = get_logger(__name__)
+
+
+def event_of(command: Command, unix_ms: float) -> Event:
+    """A command in the machine's form, itself within it."""
+    if isinstance(command, ListChange):
+        gone = api.State.GONE
+        lines = {host.name: host if host.state is not gone else None for host in command.hosts}
+        return ListEvent(command.cursor, command.seq, command.whole, lines, command)
+    return PurgeEvent(command.cursor, (command.key, command.group), min(command.when_ms, unix_ms), command)
+
+
+def command_of(event: Event) -> Command:
+    if isinstance(event, ListEvent) and event.body is None:
+        return ListChange(event.number, True, tuple(event.lines.values()), event.seq)
+    command: Command = event.body
+    return command
+
+
+class SourcedChannel(Channel):
+    """``words`` gives what a poll says of its sender, by whether a sibling is asked; ``name`` is its own.
+    ``on_epoch`` is called where numbers start anew, before anything is taken in them; ``on_confirmed``
+    with the age (ms) of what is held and the number up to which all was taken, where an answer has told
+    all."""
+
+    block_ms = POLL_MS
+    silent_ms = PATIENCE_MS
+
+    def __init__(
+        self,
+        reactor: Any,
+        sources: Sources,
+        hold_ms: float,
+        deadlines: Deadlines,
+        clock: Callable[[], float],
+        take: Callable[[Command], None],
+        on_current: Callable[[], None],
+        name: str,
+        words: Callable[[bool], str],
+        on_epoch: Callable[[], None] = lambda: None,
+        on_confirmed: Callable[[float, int], None] = lambda age_ms, number: None,
+    ) -> None:
+        first = next(iter(sources.sources))
+        super().__init__(reactor, first, deadlines, clock, take, on_current)
+        self.sources, self.follower = sources, Follower(hold_ms)
+        self.name, self.words, self.on_epoch, self.on_confirmed = name, words, on_epoch, on_confirmed
+        self._asked_for: Address | None = None  # whom the machine wants polled
+        self._open = False  # a connection or dial of ours is there, or its end is still to come
+        self._begun = False  # an answer in pieces has begun
+        self._fails = 0  # in a row, for the log
+        self._farewells: dict[Address, int] = {}  # sources that count on us, by the turn of telling them
+        self._said = 0
+        self._unix_ms = 0.0
+
+    def replay(self, known: Commands) -> None:
+        """The list and the purges of the start.  The list counts as of now, in discovery's numbers."""
+        lists = [event for event in known.events if isinstance(event, ListChange)]
+        for event in known.events:
+            self._feed(event)
+        if lists:
+            self.follower.start(self.clock(), known.cursor, lists[-1].seq)
+        self.cursor = self.follower.cursor
+
+    def start(self) -> None:
+        if self.stopped:
+            return
+        if self._asked_for is None and self.sources.current is None:
+            return self._feed_machine(Started())
+        self._dial()
+
+    def move(self, address: Address) -> None:
+        """The configuration's own channel is not polled here."""
+        log.info("channel-not-used", channel=f"{address[0]}:{address[1]}", why="[control]")
+
+    @property
+    def doubtful(self) -> bool:
+        return True
+
+    def target(self, block_ms: float) -> str:
+        position = self.follower.asked(self.clock())
+        self.cursor = self._asked = self.follower.cursor
+        self._feed_machine(Polled(self.address))
+        epoch = f"&epoch={position.epoch}" if position.epoch else ""
+        words = self.words(self.sources.sources[self.address].sibling)
+        return f"/cmd/next?resume={position.resume}&block={block_ms:.0f}{epoch}{words}"
+
+    def answered(self, commands: Commands, steady: bool = False) -> None:
+        """An answer has come whole; of a long one, its events have been offered."""
+        self.silences = self._fails = 0
+        if not self._begun:
+            self._begin(commands)
+        elif (commands.epoch or "") != self.follower.epoch:
+            raise ProtocolError("epoch-late")
+        self._begun = False
+        if commands.faults:
+            self.faulty += 1
+            if worth_logging(self.faulty):
+                log.error("channel-faults", told=commands.cursor, faults=",".join(commands.faults))
+        standing = self._take(commands.events, commands.cursor)
+        now, follower = self.clock(), self.follower
+        if standing is Standing.IN_STEP:
+            self.on_confirmed(follower.age_ms(now), follower.cursor)
+        if follower.listed and standing is not Standing.MORE and not self.current:
+            self.current = True
+            self.on_current()
+        age_ms = commands.age_ms or 0.0
+        self._feed_machine(Answered(self.address, age_ms, older=standing is Standing.OLDER))
+
+    def apply_piece(self, told: int | None, listed: list[Any]) -> Commands:
+        """Offer what is new of a long answer's piece; a list is put together until its end."""
+        if not self._begun:
+            long = self.link.long if self.link is not None else None
+            head = long.head() if long is not None else None
+            self._begin(head or Commands(-1, ()))
+            self._begun = True
+        piece = read_piece(listed, self.follower.cursor)
+        self._take(piece.events, None)
+        self._feed_machine(Polled(self.address))  # it is not silent
+        return piece
+
+    def _begin(self, head: Commands) -> None:
+        follower, before = self.follower, self.follower.epoch
+        told = head.cursor if head.cursor >= 0 else None
+        follower.begin(self.clock(), head.epoch or "", head.age_ms or 0.0, told)
+        self._unix_ms = time.time() * 1000.0
+        if follower.epoch != before:
+            self.on_epoch()
+
+    def _take(self, commands: tuple[Command, ...], last: int | None) -> Standing:
+        """Offer these; with ``last``, the answer's own number, this is its end.  Drains go before purges."""
+        events = [event_of(command, self._unix_ms) for command in commands]
+        taken: list[Event] = [event for event in events if self.follower.offer(event)]
+        whole, standing = self.follower.end(last) if last is not None else (None, Standing.MORE)
+        lists = [event for event in taken if isinstance(event, ListEvent)]
+        purges = [event for event in taken if isinstance(event, PurgeEvent)]
+        ready: list[Event] = [*lists, *([whole] if whole is not None else []), *purges]
+        for event in ready:
+            self._feed(command_of(event))
+        self.cursor = self.follower.cursor
+        return standing
+
+    def _feed(self, event: Command) -> None:
+        try:
+            self.take(event)
+        except Exception:  # Guards the events behind one that the program stumbles over, and its repeat
+            log.exception("event-failed", cursor=event.cursor)
+
+    def lost(self, steady: bool, code: str, polls: int = 0) -> None:
+        """The connection or dial has ended.  One that was left ends by itself, and the next may begin."""
+        self._open = self._begun = False
+        if self.stopped:
+            return
+        if code == "moved" or self._asked_for != self.address:
+            return self._dial()
+        self._asked_for, left = None, self.address
+        self._feed_machine(Failed(left, code))
+        if self._asked_for != left:
+            self._say_farewell(left, FAREWELL_MS)
+
+    def _feed_machine(self, event: SourcesEvent) -> None:
+        if self.stopped:
+            return
+        for action in self.sources.handle(self.clock(), event):
+            self._carry_out(action)
+
+    def _carry_out(self, action: SourcesAction) -> None:
+        match action:
+            case Ask(source):
+                self._asked_for = source
+                self._farewells.pop(source, None)
+                self._dial()
+            case Leave(source):
+                self._asked_for = None
+                self._say_farewell(source)
+                if self.link is not None:
+                    self.link.leave("moved")
+                elif self._dialling is not None:
+                    self._dialling.cancel()
+            case Probe(source):
+                probe(self.reactor, source, self.deadlines, self.clock, self.name, self._probed(source))
+            case SetTimer(in_ms, token):
+                self.deadlines.add(self.clock() + in_ms, lambda: self._feed_machine(TimerFired(token)))
+            case Told(name, fields):
+                self._fails += name == "source-left"
+                if worth_logging(max(self._fails, 1)):
+                    log.info(name, failures=self._fails, **fields)
+
+    def _dial(self) -> None:
+        """Go to whom the machine wants polled, once the connection before has ended."""
+        if self._asked_for is None or self._open or self.stopped:
+            return
+        self.address = self._asked_for
+        self.host = f"{self.address[0]}:{self.address[1]}"
+        self.failures = self.silences = self.hangs = self.wasted = 0
+        self._open = True
+        super().start()
+
+    def _probed(self, source: Address) -> Callable[[Commands | None, str], None]:
+        def done(answer: Commands | None, code: str) -> None:
+            if answer is not None:
+                self._farewells.pop(source, None)
+                self._feed_machine(Answered(source, answer.age_ms or 0.0, probe=True))
+            else:
+                self._feed_machine(Failed(source, code, probe=True))
+
+        return done
+
+    def _say_farewell(self, source: Address, in_ms: float = 0.0) -> None:
+        """Tell a source that we are served elsewhere, until it has heard it or is asked again: else it waits
+        for us, and what is done everywhere is never told."""
+        self._said += 1
+        self._farewells[source] = self._said
+        self._farewell(source, self._said, in_ms)
+
+    def _farewell(self, source: Address, turn: int, in_ms: float) -> None:
+        def done(answer: Commands | None, _: str) -> None:
+            if self._farewells.get(source) != turn:
+                return
+            if answer is not None:
+                del self._farewells[source]
+            else:
+                self._farewell(source, turn, min(max(2.0 * in_ms, FAREWELL_MS), MOST_FAREWELL_MS))
+
+        def say() -> None:
+            if self._farewells.get(source) == turn and not self.stopped:
+                probe(self.reactor, source, self.deadlines, self.clock, self.name, done)
+
+        if in_ms > 0.0:
+            self.deadlines.add(self.clock() + in_ms * (0.5 + random.random() / 2), say)
+        else:
+            say()
+
+    def figures(self) -> dict[str, int]:
+        """For the operators: age of what is held (-1: never confirmed), place of the source that is asked in
+        their order (-1: none), and moves from one to another."""
+        age_ms, current = self.follower.age_ms(self.clock()), self.sources.current
+        return {
+            "control_age_ms": int(age_ms) if math.isfinite(age_ms) else -1,
+            "control_source": current.place if current is not None else -1,
+            "control_moves": self.sources.moves,
+        }
--- a/thornjunction/net/wire/long_answer.py
+++ b/thornjunction/net/wire/long_answer.py
@@ -32,7 +32,10 @@
         self.fault, self.listed = "", False  # whether the list of events has come
         self._events: list[Any] = []
         self._key = ""  # the name that the next value beside the events has
-        self._errors = ijson.JSONError, UnicodeDecodeError  # the second: letters that only yajl takes for such
+        self._errors = (
+            ijson.JSONError,
+            UnicodeDecodeError,
+        )  # the second: letters that only yajl takes for such
         self._object = ijson.ObjectBuilder
         self._since, self._nodes = 0, 0  # bytes and nodes since the last whole event
         building = self._build()
