--- /dev/null
+++ b/tests/sources_rig.py
@@ -0,0 +1,225 @@
+"""Scripted sources of control on real loopback connections, and a router's channel at them, its deadlines
+by a clock that is turned by hand."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from control_sources import Sources
+from twisted.internet import protocol
+from twisted.internet.defer import inlineCallbacks
+from twisted.python.failure import Failure
+
+from thornjunction.demo.rig import reactor, until
+from thornjunction.demo.watch import answer
+from thornjunction.memory.deadlines import Deadlines
+from thornjunction.net.sourced_channel import SourcedChannel
+from thornjunction.net.transport import Building, Transport
+from thornjunction.net.wire import http1
+from thornjunction.net.wire.commands import Command, ListChange
+
+Query = dict[str, str]
+
+
+class SourceLink(protocol.Protocol):
+    transport: Transport  # type: ignore[assignment]
+
+    def __init__(self, source: ScriptedSource) -> None:
+        self.source, self.reader, self.ended = source, http1.RequestReader(0), ""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        self.source.links.append(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        for request in self.reader.feed(data):
+            query = {key: values[0] for key, values in parse_qs(urlsplit(request.target).query).items()}
+            self.source.polled(self, query)
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
+        self.ended = type(reason.value).__name__
+
+
+class ScriptedSource:
+    """A relay, or a plain discovery where ``epoch`` is empty.  ``events`` are its log; ``state`` is the
+    list as it stands, and ``purges`` hold.  ``way`` is ``up``, ``hung``, or a status; ``cut`` ends the
+    next answer in its middle."""
+
+    def __init__(self, epoch: str) -> None:
+        self.epoch, self.age_ms, self.way, self.cut = epoch, 0, "up", False
+        self.number = 0
+        self.seq, self.state = 0, dict[str, dict[str, Any]]()
+        self.listed_at = 0
+        self.purges: list[dict[str, Any]] = []
+        self.events: list[dict[str, Any]] = []
+        self.polls, self.probes = list[Query](), list[Query]()
+        self.links: list[SourceLink] = []
+        self.held: tuple[SourceLink, Query] | None = None
+        self.port: Any = None
+        self.listen(0)
+        self.address = ("127.0.0.1", int(self.port.getHost().port))
+
+    def listen(self, port: int) -> None:
+        self.port = reactor.listenTCP(port, Building(lambda: SourceLink(self)), interface="127.0.0.1")
+
+    @inlineCallbacks
+    def kill(self) -> Any:
+        yield self.port.stopListening()
+        for link in self.links:
+            link.transport.abortConnection()
+        yield until(lambda: all(link.ended for link in self.links))
+        self.links.clear()
+        self.held = None
+
+    def revive(self, epoch: str) -> None:
+        """The same address, under another epoch."""
+        self.epoch, self.way = epoch, "up"
+        self.listen(self.address[1])
+
+    def list_(self, seq: int, **health: str) -> ScriptedSource:
+        """Shelfs and their states: a whole list where there is none yet, else a change."""
+        whole, self.number, self.seq = not self.state, self.number + 1, seq
+        lines = [{"host": name, "health": state} for name, state in health.items()]
+        self.state |= {line["host"]: line for line in lines}
+        self.listed_at = self.number
+        nodes = {"seq": seq, "whole": whole, "hosts": lines}
+        self.events.append({"cursor": self.number, "nodes": nodes})
+        self.release()
+        return self
+
+    def purge(self, family: int, when: int) -> ScriptedSource:
+        self.number += 1
+        self.purges.append({"cursor": self.number, "drop": {"family": family, "when": when}})
+        self.events.append(self.purges[-1])
+        self.release()
+        return self
+
+    def whole(self) -> list[dict[str, Any]]:
+        nodes = {"seq": self.seq, "whole": True, "hosts": list(self.state.values())}
+        events = [{"cursor": self.listed_at, "nodes": nodes}, *self.purges]
+        return sorted(events, key=lambda event: int(event["cursor"]))
+
+    def polled(self, link: SourceLink, query: Query) -> None:
+        if query.get("as") == "probe":
+            self.probes.append(query)
+            if self.way != "hung":
+                self.say(link, [])
+            return
+        self.polls.append(query)
+        self.held = link, query
+        known = query.get("epoch", "") == self.epoch and 0 < int(query["resume"]) <= self.number
+        if query["block"] == "1" or not known or int(query["resume"]) < self.events[-1]["cursor"]:
+            self.release()
+
+    def release(self) -> None:
+        """Answer the poll that is held."""
+        if self.held is None or self.way == "hung":
+            return
+        (link, query), self.held = self.held, None
+        resume = int(query["resume"])
+        if query.get("epoch", "") == self.epoch and (resume > 0 or not self.epoch):
+            events = [event for event in self.events if event["cursor"] > resume]
+        else:
+            events = self.whole()
+        self.say(link, events)
+
+    def say(self, link: SourceLink, events: list[dict[str, Any]]) -> None:
+        told: dict[str, Any] = {"cursor": self.number, "cmds": events}
+        if self.epoch:
+            told |= {"epoch": self.epoch, "age": self.age_ms}
+        data = answer(told, 200 if self.way == "up" else int(self.way))
+        if self.cut:
+            self.cut = False
+            link.transport.write(data[: len(data) // 2])
+            link.transport.abortConnection()
+        else:
+            link.transport.write(data)
+
+
+class SourcesRig:
+    """The real channel at scripted sources ``a``, ``b``, and so on."""
+
+    def __init__(self, *epochs: str) -> None:
+        self.now, self.deadlines = 1e6, Deadlines()
+        self.sources = [ScriptedSource(epoch) for epoch in epochs]
+        self.taken: list[Command] = []
+        self.confirmed: list[tuple[float, int]] = []
+        self.epochs = self.current = 0
+        machine = Sources([source.address for source in self.sources], lambda: 0.5)
+        clock: Callable[[], float] = lambda: self.now  # noqa: E731
+        self.channel = SourcedChannel(
+            reactor,
+            machine,
+            10_000.0,
+            self.deadlines,
+            clock,
+            self.taken.append,
+            lambda: setattr(self, "current", self.current + 1),
+            "r1",
+            lambda sibling: "&as=sibling" if sibling else "&as=router&name=r1",
+            lambda: setattr(self, "epochs", self.epochs + 1),
+            lambda age_ms, number: self.confirmed.append((age_ms, number)),
+        )
+
+    def pass_time(self, ms: float) -> None:
+        """Run what falls due, each at its time, with no turn of the reactor between."""
+        end = self.now + ms
+        while (due := self.deadlines.next_due()) <= end:
+            self.now = max(self.now, due)
+            self.deadlines.run_due(self.now)
+        self.now = end
+
+    @inlineCallbacks
+    def asked(self, source: ScriptedSource, times: int = 1) -> Any:
+        """Until this source holds a poll, after so many polls."""
+        yield until(lambda: len(source.polls) >= times and source.held is not None)
+
+    @inlineCallbacks
+    def live(self, ms: float, step_ms: float = 400.0) -> Any:
+        """Let time pass while the sources that are up answer the polls they hold, and all probes end."""
+        end = self.now + ms
+        while self.now < end:
+            self.pass_time(min(step_ms, end - self.now))
+            yield self.settled()
+
+    @inlineCallbacks
+    def settled(self) -> Any:
+        """Until no dial and no probe is out, and each poll that is held by a source that is up is a new
+        one."""
+        machine = self.channel.sources.sources.values()
+        yield until(lambda: all(source.probed_until == float("inf") for source in machine))
+        for source in self.sources:
+            if source.held is not None and source.way == "up":
+                polls = len(source.polls)
+                source.release()
+                yield until(
+                    lambda source=source, polls=polls: (  # type: ignore[misc]
+                        len(source.polls) > polls or self.channel.address != source.address
+                    )
+                )
+        yield until(lambda: self.channel._dialling is None)
+
+    def purged(self) -> list[int]:
+        return [command.group for command in self.taken if not isinstance(command, ListChange)]
+
+    def listed(self) -> dict[str, str]:
+        """The list as whoever applies what was taken holds it."""
+        held: dict[str, str] = {}
+        for command in self.taken:
+            if isinstance(command, ListChange):
+                held = {} if command.whole else held
+                held |= {host.name: host.state.name for host in command.hosts}
+        return held
+
+    @inlineCallbacks
+    def stop(self) -> Any:
+        self.channel.stopped = True
+        if self.channel.link is not None:
+            self.channel.link.close("test")
+        elif self.channel._dialling is not None:
+            self.channel._dialling.cancel()
+        yield until(lambda: self.channel.link is None and self.channel._dialling is None)
+        for source in self.sources:
+            yield source.kill()
