--- a/thornjunction/net/sourced_channel.py
+++ b/thornjunction/net/sourced_channel.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import math
-import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -34,7 +33,7 @@
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.backoff import worth_logging
 from thornjunction.net.channel import Channel
-from thornjunction.net.probe import probe
+from thornjunction.net.probe import Done, probe
 from thornjunction.net.wire import ProtocolError
 from thornjunction.net.wire.commands import Command, Commands, ListChange, read_piece
 
@@ -93,6 +92,7 @@
         self._fails = 0  # in a row, for the log
         self._farewells: dict[Address, int] = {}  # sources that count on us, by the turn of telling them
         self._said = 0
+        self.probes = 0  # that are out
         self._unix_ms = 0.0
 
     def replay(self, known: Commands) -> None:
@@ -220,7 +220,7 @@
                 elif self._dialling is not None:
                     self._dialling.cancel()
             case Probe(source):
-                probe(self.reactor, source, self.deadlines, self.clock, self.name, self._probed(source))
+                self._probe(source, self._probed(source))
             case SetTimer(in_ms, token):
                 self.deadlines.add(self.clock() + in_ms, lambda: self._feed_machine(TimerFired(token)))
             case Told(name, fields):
@@ -238,7 +238,15 @@
         self._open = True
         super().start()
 
-    def _probed(self, source: Address) -> Callable[[Commands | None, str], None]:
+    def _probe(self, source: Address, done: Done) -> None:
+        def over(answer: Commands | None, code: str) -> None:
+            self.probes -= 1
+            done(answer, code)
+
+        self.probes += 1
+        probe(self.reactor, source, self.deadlines, self.clock, self.name, over)
+
+    def _probed(self, source: Address) -> Done:
         def done(answer: Commands | None, code: str) -> None:
             if answer is not None:
                 self._farewells.pop(source, None)
@@ -266,10 +274,10 @@
 
         def say() -> None:
             if self._farewells.get(source) == turn and not self.stopped:
-                probe(self.reactor, source, self.deadlines, self.clock, self.name, done)
+                self._probe(source, done)
 
         if in_ms > 0.0:
-            self.deadlines.add(self.clock() + in_ms * (0.5 + random.random() / 2), say)
+            self.deadlines.add(self.clock() + in_ms * (0.5 + self.sources.draw() / 2), say)
         else:
             say()
 
