--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -72,7 +72,13 @@
 }
 
 
-class CatchUpTest(TestCase):
+class RigTest(TestCase):
+    def come(self, holds: Callable[[], Any]) -> Any:
+        """Until something holds, with what is due at this moment run; no time passes."""
+        return until(lambda: (self.rig.deadlines.run_due(self.rig.now), holds())[1])
+
+
+class CatchUpTest(RigTest):
     timeout = 40
 
     def setUp(self) -> None:
@@ -101,10 +107,6 @@
     def numbers(self) -> list[int]:
         return [event.cursor for event in self.rig.taken]
 
-    def come(self, holds: Callable[[], Any]) -> Any:
-        """Until something holds, with what is due at this moment run; no time passes."""
-        return until(lambda: (self.rig.deadlines.run_due(self.rig.now), holds())[1])
-
     @inlineCallbacks
     def test_an_hour_behind_is_in_step_again_while_requests_are_answered(self) -> Any:
         """At most one read of the socket is held and taken a turn, so requests come between."""
@@ -154,14 +156,16 @@
 
     @inlineCallbacks
     def test_an_answer_of_the_size_of_a_piece_is_read_whole(self) -> Any:
-        """The platform's ordinary day: neither the parser of long answers nor its pieces."""
+        """The platform's ordinary day: neither the parser of long answers nor its pieces.  What follows one
+        that is longer is heard as well."""
         events = purges(1, 700)
         space = b" " * (SHORT - len(told(events, 700)))
         for more, pieces in ((b"", 0), (b" ", 2)):
             del self.pieces[:]
-            yield self.rig.afresh(say(answer(told(events, 700) + space + more)), hold)
-            yield self.come(lambda: len(self.discovery.polls) == 2)
-            self.assertEqual((self.numbers(), len(self.pieces)), (list(range(1, 701)), pieces))
+            later = answer(told(purges(701, 702), 702))
+            yield self.rig.afresh(say(answer(told(events, 700) + space + more)), say(later), hold)
+            yield self.come(lambda: len(self.discovery.polls) == 3)
+            self.assertEqual((self.numbers(), len(self.pieces)), (list(range(1, 703)), pieces))
 
     @inlineCallbacks
     def test_a_cut_in_the_middle_of_an_event_leaves_the_cursor_at_the_last_whole_one(self) -> Any:
@@ -301,7 +305,7 @@
         self.assertEqual([resume for resume, _ in self.discovery.polls], [0] * 6 + [2499])
 
 
-class NewNumbersTest(TestCase):
+class NewNumbersTest(RigTest):
     """Discovery whose numbers go back, before the real decisions."""
 
     timeout = 20
@@ -392,7 +396,7 @@
         whole = {"cursor": 1, "nodes": {"whole": True, "hosts": [line("c1"), line("c3"), watch.ORIGIN]}}
         self.discovery.events[:] = [whole, *purges(2, SOME)]
         yield self.behind(SOME)
-        yield until(lambda: self.discovery.held and self.discovery.held[1] == SOME)
+        yield self.come(lambda: self.discovery.held and self.discovery.held[1] == SOME)
         self.assertEqual(self.listed, ["c1:DRAINING c3:SERVING o:SERVING"])
         self.assertEqual(self.channel.cursor, SOME)
 
--- a/thornjunction/net/catch_up.py
+++ b/thornjunction/net/catch_up.py
@@ -12,7 +12,7 @@
 SHORT = 65_536  # bytes of body: what is no longer is read whole, at once
 LONGEST = 64_000_000  # bytes of body: an hour behind, 122,400 purges, is 10 MB
 PIECE, SLICE = 65_536, 8192  # bytes: of a turn at most, and between two looks at the clock
-PIECE_MS = 8.0  # of parsing in a turn; what was parsed then is applied
+PIECE_MS = 4.0  # of parsing in a turn; what was parsed then is applied
 PIECE_CHANGES = 16  # list changes of a turn: each is weighed by the decisions
 
 Apply = Callable[[int | None, list[Any]], Commands]
--- a/thornjunction/net/channel_link.py
+++ b/thornjunction/net/channel_link.py
@@ -22,6 +22,7 @@
 MOST_SILENT_MS = 5000.0  # as that grows: under the 7 s, and what the protocol lets a poll take
 AT_ONCE_MS = 1  # of the first poll, and after a failure: it asks what stands now
 CLOSE_MS = 400.0  # for the last bytes to an address that was left
+REST, MOST_REST_MS = 0.5, 10.0  # after a piece, of its time: for requests
 LONG_MS = 30_000.0  # for one answer in pieces; what is left of it then is asked for again
 
 
@@ -107,26 +108,28 @@
         self.long = CatchUp(channel.clock, channel.clock() + LONG_MS, channel.apply_piece)
 
     def _piece(self) -> None:
-        """Take as much as a turn may; the connection is not read before that is applied."""
-        long = self.long
+        """Take as much as a turn may; then the requests have theirs, before the connection is read again."""
+        channel, long = self.channel, self.long
         assert long is not None
+        started = channel.clock()
         if long.take():
-            self._expect(self.channel.clock())
-        if long.waits:
-            self.transport.pauseProducing()
-            self.turn = self.channel.deadlines.add(self.channel.clock(), self._next_piece)
-        elif long.ended:
-            self._answered(long.end())
+            self._expect(channel.clock())
+        if long.ended and not long.waits:
+            return self._answered(long.end())
+        self.transport.pauseProducing()
+        now = channel.clock()
+        self.turn = channel.deadlines.add(now + min(REST * (now - started), MOST_REST_MS), self._next_piece)
 
     def _next_piece(self) -> None:
-        """The connection is read again only in the turn behind the last piece of what had come."""
-        if self.code:
+        if self.code or self.long is None:
             return
+        if not self.long.waits:
+            return self.transport.resumeProducing()
         try:
             self._piece()
         except ProtocolError as error:
             return self.close(str(error))
-        if self.long is None or not self.long.waits:
+        if self.long is None:
             self.turn = self.channel.deadlines.add(self.channel.clock(), self.transport.resumeProducing)
 
     def _answered(self, commands: Commands) -> None:
--- a/thornjunction/net/wire/commands.py
+++ b/thornjunction/net/wire/commands.py
@@ -103,7 +103,7 @@
     listed = told.get("cmds")
     if not isinstance(listed, list):
         raise ProtocolError("commands-form")
-    events, faults = _read_events(listed, head.cursor)
+    events, faults = _read_events([(_placed(event), event) for event in listed], head.cursor)
     return replace(head, events=tuple(sorted(events, key=lambda command: command.cursor)), faults=faults)
 
 
@@ -122,17 +122,23 @@
     behind ``known``, the drains in them before the purges.  What can't be placed counts as its last one."""
     placed = [(_placed(event), event) for event in listed]
     last = max((number for number, _ in placed if number is not None), default=known)
-    new = [event for number, event in placed if number is None or number > known]
+    new = [(number, event) for number, event in placed if number is None or number > known]
     events, faults = _read_events(new, max(last, known))
     events.sort(key=lambda command: (isinstance(command, Purge), command.cursor))
     return Commands(max((command.cursor for command in events), default=known), tuple(events), faults)
 
 
-def _read_events(listed: list[Any], last: int) -> tuple[list[Command], tuple[str, ...]]:
-    """What can be read of them, and the first codes of what can't."""
-    faults = Faults()
+def _read_events(placed: list[tuple[int | None, Any]], last: int) -> tuple[list[Command], tuple[str, ...]]:
+    """What can be read of them, and the first codes of what can't.  An event that can't be placed counts as
+    the last one, so that it is taken."""
+    faults, events = Faults(), list[Command]()
     try:
-        events = [command for event in listed if (command := _command(event, last, faults)) is not None]
+        for number, event in placed:
+            if number is None:
+                faults.add("event-cursor")
+            command = _command(event, last if number is None else number, faults)
+            if command is not None:
+                events.append(command)
     except TooManyFaultsError as error:
         raise ProtocolError("commands-faults") from error
     return events, tuple(faults.codes[:TOLD_FAULTS])
@@ -169,12 +175,8 @@
     return number
 
 
-def _command(event: Any, last: int, faults: Faults) -> Command | None:
-    """An event that can't be placed counts as the last one of its answer, so that it is taken."""
-    cursor = _placed(event)
-    if cursor is None:
-        cursor = last
-        faults.add("event-cursor")
+def _command(event: Any, cursor: int, faults: Faults) -> Command | None:
+    """One that is known here; None for one that isn't, or can't be read."""
     try:
         if "nodes" in event:
             return _change(cursor, event["nodes"], faults)
--- a/thornjunction/net/wire/long_answer.py
+++ b/thornjunction/net/wire/long_answer.py
@@ -32,9 +32,9 @@
         self.fault, self.listed = "", False  # whether the list of events has come
         self._events: list[Any] = []
         self._key = ""  # the name that the next value beside the events has
-        self._errors = ijson.JSONError, UnicodeDecodeError  # the second: letters that only yajl takes for such
+        self._errors = ijson.JSONError, UnicodeDecodeError  # the second: what only yajl takes for letters
         self._object = ijson.ObjectBuilder
-        self._since, self._nodes = 0, 0  # bytes and nodes since the last whole event
+        self._since = 0  # bytes since the last whole event
         building = self._build()
         next(building)
         # Without ``use_float``, a number of more digits than Python converts crashes the parser (3.6.0).
@@ -71,36 +71,31 @@
         self._parser = None
 
     def _build(self) -> Parsing:
-        """Takes the parser's calls, and builds each event."""
-        depth, listing, build = 0, False, self._object()
+        """Takes the parser's calls, and builds each event; some ten calls an event, so no more of its own."""
+        depth, nodes, listing, step_of = 0, 0, False, STEPS.get
+        build = self._object()
+        put = build.event
         while True:
             kind, value = yield
-            step = STEPS.get(kind, 0)
+            step = step_of(kind, 0)
             depth += step
             if depth > MAX_DEPTH:
                 raise ProtocolError("commands-depth")
-            if not listing:
+            if not listing or depth < CMDS:
                 listing = self._beside(depth, kind, value)
-            elif depth < CMDS:
-                listing = False
-            elif depth == CMDS and not step:
-                self._whole(value)  # no event; it counts as a fault
+            elif depth > CMDS:
+                if step > 0 and depth == CMDS + 1:
+                    build, nodes = self._object(), 0
+                    put = build.event
+                nodes += 1
+                if nodes > MAX_NODES:  # Guards against an event that takes 30 times its bytes
+                    raise ProtocolError("event-size")
+                put(kind, value)
+            elif step:
+                put(kind, value)
+                self._events.append(build.value)
             else:
-                if depth == CMDS + 1 and step > 0:
-                    build = self._object()
-                self._node(build, kind, value)
-                if depth == CMDS:
-                    self._whole(build.value)
-
-    def _node(self, build: Any, kind: str, value: Any) -> None:
-        self._nodes += 1
-        if self._nodes > MAX_NODES:  # Guards against an event that takes 30 times its bytes
-            raise ProtocolError("event-size")
-        build.event(kind, value)
-
-    def _whole(self, event: Any) -> None:
-        self._events.append(event)
-        self._nodes = 0
+                self._events.append(value)  # no event; it counts as a fault
 
     def _beside(self, depth: int, kind: str, value: Any) -> bool:
         """What stands outside the list of events; true where that begins."""
