--- a/benchmarks/catch_up.py
+++ b/benchmarks/catch_up.py
@@ -1,8 +1,8 @@
 """What catching up costs a router: the real program, an hour (122,400 events) behind, before stand-in shelfs
 and a stand-in discovery on loopback, under a steady load of requests.
 
-``PYTHONPATH=. python benchmarks/catch_up.py [ROUNDS]`` prints a Markdown table: each round is one process that
-serves quietly first and then hears that it is behind, beside one that never is.
+``PYTHONPATH=. python benchmarks/catch_up.py [ROUNDS]`` prints a Markdown table: each round is one process
+that serves quietly first and then hears that it is behind, and one that never is.
 ``PYTHONPATH=. python benchmarks/catch_up.py --idle OTHER_TREE [ROUNDS]`` compares the idle program of this
 tree with that of another: memory and processor time, both at once.
 
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -19,14 +19,16 @@
 from thornjunction.demo.clients import FastCgiClient, fastcgi_request
 from thornjunction.demo.rig import reactor, until
 from thornjunction.demo.watch import HEAD, WatchRig, answer, fetched_from, half_close, hold, line, say
+from thornjunction.net import catch_up, channel_link
 from thornjunction.net import channel as channels
-from thornjunction.net import channel_link
-from thornjunction.net.catch_up import PIECE, SHORT, CatchUp
+from thornjunction.net.catch_up import CatchUp
 from thornjunction.net.wire import ProtocolError
 from thornjunction.net.wire.commands import Commands, ListChange, Purge, decode_commands
-from thornjunction.net.wire.long_answer import MAX_EVENT, MAX_NODES, LongAnswer
+from thornjunction.net.wire.long_answer import LongAnswer
 
 AN_HOUR = 122_400  # purges: 34 a second
+READ = 65_536  # bytes: of one read of a socket, so of what is no long answer, and of a turn
+EVENT = 1_000_000  # bytes of one event at most
 SOME = 3000  # purges whose answer is long
 FCGI = {"SCRIPT_NAME": "/do/films", "HTTP_X_ROW": "7f3a9c21e0b4d655", "HTTP_X_TTL_MS": "1500"}
 
@@ -56,7 +58,7 @@
 LONG = told(purges(1, SOME), SOME)
 MIDDLE = LONG.index(b'{"cursor": 2500,')  # where the 2,500th event begins; 2,499 are whole before
 UNTIL_THEN = list(range(1, 2500))
-JUNK = b'"' + b"x" * (2 * MAX_EVENT)
+JUNK = b'"' + b"x" * (2 * EVENT)
 SPOILT: dict[str, tuple[bytes, str]] = {  # what comes from there on, and what it is called
     "garbage": (b"}" + LONG[MIDDLE:], "commands-form"),
     "no JSON's number": (LONG[MIDDLE:].replace(b"1764576002623", b"NaN"), "commands-form"),
@@ -66,9 +68,9 @@
     "the end too early": (b'{}], "cursor": 9} ' + LONG[MIDDLE:], "commands-form"),
     "deep": (b"[" * 100_000, "commands-depth"),
     "an event without end": (JUNK, "event-size"),
-    "an event of too many values": (b"[" + b"{}," * MAX_NODES, "event-size"),
+    "an event of too many values": (b"[" + b"{}," * 200_000, "event-size"),
     "nothing but faults": (b"7," * 2000 + LONG[MIDDLE:], "commands-faults"),
-    "nothing but spaces": (b" " * (2 * MAX_EVENT), "event-size"),
+    "nothing but spaces": (b" " * (2 * EVENT), "event-size"),
 }
 
 
@@ -138,8 +140,8 @@
         yield self.come(lambda: len(self.discovery.polls) == 2)
         self.assertEqual(self.discovery.polls, [(0, 1), (AN_HOUR, 1200)])
         self.assertEqual(self.numbers(), list(range(1, AN_HOUR + 1)))
-        self.assertLessEqual(max(taken for taken, _ in self.pieces), PIECE)
-        self.assertLessEqual(max(held for _, held in self.pieces), 2 * PIECE)
+        self.assertLessEqual(max(taken for taken, _ in self.pieces), READ)
+        self.assertLessEqual(max(held for _, held in self.pieces), 2 * READ)
         self.assertEqual(sorted(set(at)), at)  # never two of them in one turn
         self.assertLess(max(counts), 1000)
         self.assertGreater(asked, 10)
@@ -147,19 +149,40 @@
 
     @inlineCallbacks
     def test_chunks_of_any_size_are_the_same_answer(self) -> Any:
-        for size in (700, SHORT - 1, SHORT + 1, len(LONG)):
+        for size in (700, READ - 1, READ + 1, len(LONG)):
             yield self.rig.afresh(say(chunked(LONG, size)), hold)
             yield self.come(lambda: len(self.discovery.polls) == 2)
             self.assertEqual(self.discovery.polls, [(0, 1), (SOME, 1200)], size)
             self.assertEqual(self.numbers(), list(range(1, SOME + 1)), size)
-            self.assertLessEqual(max(taken for taken, _ in self.pieces), PIECE)
+            self.assertLessEqual(max(taken for taken, _ in self.pieces), READ)
+
+    @inlineCallbacks
+    def test_what_has_come_is_taken_before_more_is_read(self) -> Any:
+        """Where a turn takes less than a read brings; and what follows the answer is heard."""
+        with patch.object(catch_up, "PIECE", READ // 4):
+            yield self.rig.afresh(say(answer(LONG)), say(answer(told([purge(SOME + 1)], SOME + 1))), hold)
+            yield self.come(lambda: len(self.discovery.polls) == 3)
+        self.assertEqual(self.numbers(), list(range(1, SOME + 2)))
+        self.assertLessEqual(max(held for _, held in self.pieces), READ + 64)  # an open head counts 64
+        self.assertLessEqual(max(taken for taken, _ in self.pieces), READ // 4)
+
+    @inlineCallbacks
+    def test_the_head_of_a_long_answer_counts(self) -> Any:
+        """A refusal says nothing however long it is, and a connection that is to close is not asked again."""
+        refusal, last = answer(LONG, 500), answer(LONG).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        for told, code, cursor in ((refusal, "status-500", 0), (last, "no-keep-alive", SOME)):
+            with patch.object(channels, "log_end") as ends:
+                yield self.rig.afresh(say(told), hold)
+                yield self.come(self.channel_is_down)
+            self.assertEqual((ends.call_args.args[2], self.rig.channel.cursor), (code, cursor))
+            self.assertEqual(self.numbers(), list(range(1, cursor + 1)))
 
     @inlineCallbacks
     def test_an_answer_of_the_size_of_a_piece_is_read_whole(self) -> Any:
         """The platform's ordinary day: neither the parser of long answers nor its pieces.  What follows one
         that is longer is heard as well."""
         events = purges(1, 700)
-        space = b" " * (SHORT - len(told(events, 700)))
+        space = b" " * (READ - len(told(events, 700)))
         for more, pieces in ((b"", 0), (b" ", 2)):
             del self.pieces[:]
             later = answer(told(purges(701, 702), 702))
@@ -198,8 +221,8 @@
             taken = self.numbers()
             self.assertEqual(taken, UNTIL_THEN[: len(taken)], name)
             self.assertGreaterEqual(len(taken), 2499 if code != "commands-faults" else 1600, name)
-            self.assertLessEqual(max(held for _, held in self.pieces), 2 * PIECE, name)
-            self.assertLess(sum(taken for taken, _ in self.pieces), MIDDLE + MAX_EVENT + PIECE, name)
+            self.assertLessEqual(max(held for _, held in self.pieces), 2 * READ, name)
+            self.assertLess(sum(taken for taken, _ in self.pieces), MIDDLE + EVENT + READ, name)
             self.assertEqual(self.rig.channel.cursor, len(taken), name)
 
     @inlineCallbacks
@@ -235,10 +258,10 @@
         for length in (b"Content-Length: 2000000\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\nf0000\r\n"):
             yield self.rig.afresh(say(HEAD + length + LONG[:MIDDLE]))
             yield self.come(lambda: self.rig.channel.cursor == 2499)
-            link = self.rig.channel.link
+            link, pieces = self.rig.channel.link, len(self.pieces)
             for byte in range(7):
                 self.discovery.links[-1].transport.write(LONG[MIDDLE + byte : MIDDLE + byte + 1])
-                yield self.come(lambda link=link: not link.long.waits)
+                yield self.come(lambda pieces=pieces + byte: len(self.pieces) > pieces)
                 self.rig.pass_time(100.0)
             self.assertEqual(link.code, "")
             self.rig.pass_time(100.0)
@@ -293,16 +316,19 @@
     @inlineCallbacks
     def test_much_that_ends_without_an_event_is_asked_again_with_growing_pauses(self) -> Any:
         """Also behind a first one each time; progress brings the short pause back."""
-        huge = HEAD + b"Content-Length: 9000000\r\n\r\n" + b'{"cursor":9, "cmds": [' + JUNK
+        huge = [
+            HEAD + b"Content-Length: 9000000\r\n\r\n" + told([purge(number)], 9)[:-2] + b", " + JUNK
+            for number in range(1, 6)
+        ]
         some = HEAD + b"Content-Length: 9000000\r\n\r\n" + LONG[:MIDDLE]
-        yield self.rig.afresh(*[say(huge)] * 5, say(some, end=half_close), hold)
+        yield self.rig.afresh(*[say(one) for one in huge], say(some, end=half_close), hold)
         for wait_ms in (200.0, 400.0, 800.0, 1600.0, 2500.0, 25.0):
             yield self.come(lambda: len(self.discovery.polls) and self.rig.channel.link is None)
             self.assertAlmostEqual(self.rig.deadlines.next_due() - self.rig.now, wait_ms)
             polls = len(self.discovery.polls)
             self.rig.pass_time(wait_ms)
             yield self.rig.polled(polls + 1)
-        self.assertEqual([resume for resume, _ in self.discovery.polls], [0] * 6 + [2499])
+        self.assertEqual([resume for resume, _ in self.discovery.polls], [0, 1, 2, 3, 4, 5, 2499])
 
 
 class NewNumbersTest(RigTest):
@@ -425,6 +451,19 @@
         yield self.polled_again()
         self.assertEqual((self.asked_anew(), self.channel.cursor, self.listed), (True, 10, []))
 
+    @inlineCallbacks
+    def test_two_false_words_are_too_few_however_far_apart(self) -> Any:
+        yield self.begin()
+        del self.discovery.polls[:]
+        told = answer({"cursor": 3, "cmds": []})
+        for polls in (1, 2, 3):  # polls that are held for longer than they asked
+            link, _ = self.discovery.held
+            self.discovery.held = None
+            self.rig.pass_time(1900.0)
+            link.transport.write(told)
+            yield until(lambda polls=polls: len(self.discovery.polls) >= polls)
+            self.assertEqual(self.asked_anew(), polls == 3)
+
     @inlineCallbacks
     def test_few_false_words_ask_nothing_anew_and_many_ask_ever_more_rarely(self) -> Any:
         yield self.begin()
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -205,11 +205,9 @@
             self.pool.update(command.hosts, command.whole)  # what waited there is decided again by this list
         else:
             age = max(core_ms() - unix_to_core(command.when_ms), 0.0)
-            if (
-                age > self.config.settings.purge_takes_ms
-            ):  # all caches have dropped it: no decision hangs on it
-                return
-            self.engine.feed(api.Purged(command.group, age, command.key))
+            # Past its hold all caches have dropped what it names, and no decision hangs on it.
+            if age <= self.config.settings.purge_takes_ms:
+                self.engine.feed(api.Purged(command.group, age, command.key))
 
     def _entry(self, host: Host) -> api.ServerEntry:
         return api.ServerEntry(
