--- a/thornjunction/demo/watch.py
+++ b/thornjunction/demo/watch.py
@@ -56,6 +56,27 @@
     link.transport.loseWriteConnection()
 
 
+def purge(number: int) -> dict[str, Any]:
+    """The event of that number: a purge of long ago."""
+    return {"cursor": number, "drop": {"id": f"{number:016x}", "when": 1764576000123 + number}}
+
+
+def purges(first: int, last: int) -> list[dict[str, Any]]:
+    return [purge(number) for number in range(first, last + 1)]
+
+
+def told(events: list[Any], cursor: int) -> bytes:
+    """The body of an answer."""
+    return json.dumps({"cursor": cursor, "cmds": events}).encode()
+
+
+def chunked(body: bytes, size: int, end: bytes = b"0\r\n\r\n") -> bytes:
+    """An answer in chunks of so many bytes."""
+    parts = (body[start : start + size] for start in range(0, len(body), size))
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+    return HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + end
+
+
 HEAD = b"HTTP/1.1 200 OK\r\n"
 GOOD = answer({"cursor": 1, "cmds": [{"cursor": 1, "drop": {"family": 3, "when": 5}}]})  # the first event
 BAD: dict[str, Step] = {  # what is no answer
@@ -197,6 +218,10 @@
             self.deadlines.run_due(self.now)
         self.now = end
 
+    def come(self, holds: Callable[[], Any]) -> Any:
+        """Until something holds, with what is due at this moment run; no time passes."""
+        return until(lambda: (self.deadlines.run_due(self.now), holds())[1])  # type: ignore[func-returns-value]
+
     @inlineCallbacks
     def polled(self, times: int) -> Any:
         yield until(lambda: len(self.discovery.polls) >= times)
