--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -90,10 +90,10 @@
         client = yield fronts.client(3, FastCgiClient)
         apply, at = self.channel.apply_piece, list[int]()
 
-        def counted(last: int | None, listed: list[Any]) -> Commands:
+        def counted(head: Commands | None, listed: list[Any]) -> Commands:
             at.append(turns[0])
             counts.append(len(listed))
-            return apply(last, listed)
+            return apply(head, listed)
 
         def turn() -> None:
             turns[0] += 1
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -107,6 +107,22 @@
         self.assertEqual((other.polls, len(self.rig.taken)), ([(1, 1200), (2, 1200)], 2))
         self.assertEqual(self.discovery.links[0].ended, "ConnectionDone")  # in order, not reset
 
+    @inlineCallbacks
+    def test_a_new_address_while_a_long_answer_comes(self) -> Any:
+        other = ScriptedDiscovery()
+        self.addCleanup(other.stop)
+        other.events = watch.purges(1, 3000)
+        self.discovery.script = [say(answer({"cursor": 3000, "cmds": other.events}))]
+        self.channel.start()
+        yield until(lambda: self.channel.cursor)
+        taken = self.channel.cursor
+        self.channel.move(other.address)
+        yield self.rig.ended(50.0)
+        yield self.rig.come(lambda: len(other.polls) == 2)
+        self.assertTrue(0 < taken < 3000)
+        self.assertEqual(other.polls, [(taken, 1), (3000, 1200)])
+        self.assertEqual([event.cursor for event in self.rig.taken], list(range(1, 3001)))
+
     @inlineCallbacks
     def test_a_new_address_while_a_dial_hangs(self) -> Any:
         with socket.socket() as full, socket.socket() as filler:
--- a/thornjunction/net/catch_up.py
+++ b/thornjunction/net/catch_up.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from thornjunction.net.wire import ProtocolError
-from thornjunction.net.wire.commands import TOLD_FAULTS, Commands
+from thornjunction.net.wire.commands import TOLD_FAULTS, Commands, read_head
 from thornjunction.net.wire.long_answer import LongAnswer
 
 SHORT = 65_536  # bytes of body: what is no longer is read whole, at once
@@ -15,12 +15,13 @@
 PIECE_MS = 4.0  # of parsing in a turn; what was parsed then is applied
 PIECE_CHANGES = 16  # list changes of a turn: each is weighed by the decisions
 
-Apply = Callable[[int | None, list[Any]], Commands]
+Apply = Callable[[Commands | None, list[Any]], Commands]
 
 
 class CatchUp:
-    """Cuts one long answer into pieces.  ``apply`` is given a piece, the answer's cursor where that has come
-    and whole events as parsed JSON; it says what was new in them.  Ends at ``until`` on the clock (ms)."""
+    """Cuts one long answer into pieces.  ``apply`` is given a piece: what the answer says beside its events
+    where that has come, and whole events as parsed JSON; it says what was new in them.  Ends at ``until`` on
+    the clock (ms)."""
 
     def __init__(self, clock: Callable[[], float], until: float, apply: Apply) -> None:
         self.clock, self.until, self.apply = clock, until, apply
@@ -45,7 +46,7 @@
         self._still, self.wasted = self._still + read, self.wasted + read
         progress = bool(listed) or self._still >= PIECE
         if listed:
-            taken = self.apply(self._told(), listed)
+            taken = self.apply(self._head(), listed)
             self._faults += taken.faults[: TOLD_FAULTS - len(self._faults)]
             self.wasted = 0 if taken.events else self.wasted
         if self._answer.fault:
@@ -76,6 +77,8 @@
                 break
         return listed, read
 
-    def _told(self) -> int | None:
-        told = self._answer.told.get("cursor")
-        return int(told) if isinstance(told, int | float) and 0 <= told < float("inf") else None
+    def _head(self) -> Commands | None:
+        try:
+            return read_head(self._answer.told)
+        except ProtocolError:
+            return None
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -100,11 +100,11 @@
             self.cursor = event.cursor
             self._feed(event)
 
-    def apply_piece(self, told: int | None, listed: list[Any]) -> Commands:
+    def apply_piece(self, head: Commands | None, listed: list[Any]) -> Commands:
         """Take in what is new of a long answer's piece, the drains before the purges; the cursor moves past
-        all of it, or none.  ``told`` is the answer's cursor, where it has come."""
+        all of it, or none.  ``head`` is what the answer says beside its events, where that has come."""
         if self._numbers.asking:
-            self._settle(told, read_piece(listed, 0))
+            self._settle(head.cursor if head else None, read_piece(listed, 0))
         piece = read_piece(listed, self.cursor)
         for event in piece.events:
             self._feed(event)
