--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -13,20 +13,8 @@
 from tests.standins import Rig
 from thornjunction.demo import watch
 from thornjunction.demo.clients import FastCgiClient, fastcgi_request
-from thornjunction.demo.rig import reactor
-from thornjunction.demo.watch import (
-    HEAD,
-    WatchRig,
-    answer,
-    chunked,
-    half_close,
-    hold,
-    line,
-    purge,
-    purges,
-    say,
-    told,
-)
+from thornjunction.demo.rig import reactor, until
+from thornjunction.demo.watch import HEAD, WatchRig, answer, chunked, hold, purges, say, told
 from thornjunction.net import catch_up, channel_link
 from thornjunction.net import channel as channels
 from thornjunction.net.catch_up import CatchUp
@@ -131,7 +119,9 @@
     def test_what_has_come_is_taken_before_more_is_read(self) -> Any:
         """Where a turn takes less than a read brings; and what follows the answer is heard."""
         with patch.object(catch_up, "PIECE", READ // 4):
-            yield self.rig.afresh(say(answer(LONG)), say(answer(told([purge(SOME + 1)], SOME + 1))), hold)
+            yield self.rig.afresh(
+                say(answer(LONG)), say(answer(told([watch.purge(SOME + 1)], SOME + 1))), hold
+            )
             yield self.rig.come(lambda: len(self.discovery.polls) == 3)
         self.assertEqual(self.numbers(), list(range(1, SOME + 2)))
         self.assertLessEqual(max(held for _, held in self.pieces), READ + 64)  # an open head counts 64
@@ -169,7 +159,7 @@
                 answer(LONG)[: len(answer(LONG)) - len(LONG) + size],
                 chunked(LONG[:size], 900, b""),
             ):
-                yield self.rig.afresh(say(form, end=half_close))
+                yield self.rig.afresh(say(form, end=watch.half_close))
                 yield self.rig.come(lambda: self.channel_is_down())
                 self.assertEqual(self.numbers(), UNTIL_THEN)
                 self.rig.pass_time(25.0)  # what was cut brought much: the shortest pause
@@ -212,7 +202,7 @@
         yield self.rig.come(lambda: self.rig.channel.cursor == 2499)
         started, number, link = self.rig.now, 2500, self.rig.channel.link
         while not link.code:
-            event = json.dumps(purge(number)).encode() + b", "
+            event = json.dumps(watch.purge(number)).encode() + b", "
             self.discovery.links[-1].transport.write(b"%x\r\n%b\r\n" % (len(event), event))
             yield self.rig.come(lambda number=number: self.rig.channel.cursor == number)
             self.rig.pass_time(700.0)
@@ -245,8 +235,8 @@
     @inlineCallbacks
     def test_drains_come_before_purges_where_both_wait(self) -> Any:
         events = purges(1, SOME)
-        events[60] = {"cursor": 61, "nodes": {"hosts": [line("c1", health="leaving")]}}
-        events[2990] = {"cursor": 2991, "nodes": {"hosts": [line("c2", health="left")]}}
+        events[60] = {"cursor": 61, "nodes": {"hosts": [watch.line("c1", health="leaving")]}}
+        events[2990] = {"cursor": 2991, "nodes": {"hosts": [watch.line("c2", health="left")]}}
         yield self.rig.afresh(say(answer({"cursor": SOME, "cmds": events})), hold)
         yield self.rig.come(lambda: len(self.discovery.polls) == 2)
         self.assertEqual(self.numbers()[:4], [61, 1, 2, 3])
@@ -259,7 +249,7 @@
     def test_an_event_without_a_number_is_taken_in_its_piece(self) -> Any:
         """What says of no number whom it drains is heeded, and the cursor stays among those that came."""
         events: list[Any] = purges(1, SOME)
-        events[70] = {"nodes": {"hosts": [line("c1", health="leaving")]}}
+        events[70] = {"nodes": {"hosts": [watch.line("c1", health="leaving")]}}
         with patch.object(channels.log, "error") as faults:
             yield self.rig.afresh(say(answer({"cursor": SOME, "cmds": events})), hold)
             yield self.rig.come(lambda: len(self.discovery.polls) == 2)
@@ -280,16 +270,25 @@
             self.rig.pass_time(1.0)
             self.assertTrue(self.rig.channel.link.asked)
         self.assertEqual((self.rig.taken, {resume for resume, _ in self.discovery.polls}), ([], {SOME}))
+        yield self.rig.come(lambda: self.rig.channel.link.polls == 7)
+        self.rig.pass_time(2500.0)
+        yield until(lambda: self.discovery.held)
+        self.rig.pass_time(1200.0)
+        self.discovery.release()  # a poll that was held, as all should be
+        yield until(lambda: len(self.discovery.polls) == 9)
+        self.rig.channel.link.close("test")
+        yield self.rig.come(lambda: self.rig.channel.link is None)
+        self.assertEqual(self.rig.deadlines.next_due() - self.rig.now, 25.0)
 
     @inlineCallbacks
     def test_much_that_ends_without_an_event_is_asked_again_with_growing_pauses(self) -> Any:
         """Also behind a first one each time; progress brings the short pause back."""
         huge = [
-            HEAD + b"Content-Length: 9000000\r\n\r\n" + told([purge(number)], 9)[:-2] + b", " + JUNK
+            HEAD + b"Content-Length: 9000000\r\n\r\n" + told([watch.purge(number)], 9)[:-2] + b", " + JUNK
             for number in range(1, 6)
         ]
         some = HEAD + b"Content-Length: 9000000\r\n\r\n" + LONG[:MIDDLE]
-        yield self.rig.afresh(*[say(one) for one in huge], say(some, end=half_close), hold)
+        yield self.rig.afresh(*[say(one) for one in huge], say(some, end=watch.half_close), hold)
         for wait_ms in (200.0, 400.0, 800.0, 1600.0, 2500.0, 25.0):
             yield self.rig.come(lambda: len(self.discovery.polls) and self.rig.channel.link is None)
             self.assertAlmostEqual(self.rig.deadlines.next_due() - self.rig.now, wait_ms)
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -131,11 +131,12 @@
         if self._renewing:
             self.cursor = self._asked = 0
 
-    def read(self, wasted: int) -> None:
-        """The end of an answer, whole or not: bytes that were read since the last new event."""
+    def read(self, wasted: int, useful: bool) -> None:
+        """The end of an answer, whole or not: bytes that were read since the last new event, and whether it
+        told something or held its poll."""
         if wasted > SHORT:
             self.wasted += 1
-        elif not self.still:
+        elif useful:
             self.wasted = 0
 
     def pause_ms(self, times: int, spread: bool = False) -> float:
--- a/thornjunction/net/channel_link.py
+++ b/thornjunction/net/channel_link.py
@@ -144,7 +144,7 @@
         quick = long is not None or now - self.sent_at < self.block - BLOCK_MS / 2
         early = channel.still and quick
         self.empty = self.empty + 1 if early else 0
-        channel.read(long.wasted if early and long is not None else 0)
+        channel.read(long.wasted if early and long is not None else 0, useful=not early)
         if not early:
             return self.poll()
         # Guards the core against a channel that has nothing to tell and doesn't hold the poll.
@@ -172,6 +172,6 @@
         steady = self.code == "moved" or (lived and self.code != "silent")
         if self.long is not None:
             steady = steady or not channel.still
-            channel.read(self.long.wasted)
+            channel.read(self.long.wasted, useful=not channel.still)
             self.long.drop()
         channel.lost(steady, self.code or code_of(reason), self.polls)
