--- a/benchmarks/capacity_decisions.py
+++ b/benchmarks/capacity_decisions.py
@@ -3,9 +3,9 @@
 
     PYTHONPATH=. python benchmarks/capacity_decisions.py [--requests N] [PART...]
 
-Parts: ``site``, ``parents``, ``list``, ``memory`` (all of them where none is named).  One process at a time, no
-sockets; processor time is the process's own, the least of ROUNDS alternating rounds, so that a busy machine
-disturbs it little.  Memory is the growth of the resident set of a process of its own for each row."""
+Parts: ``site``, ``parents``, ``list``, ``memory`` (all of them where none is named).  One process at a time,
+no sockets; processor time is the process's own, the least of ROUNDS alternating rounds, so that a busy
+machine disturbs it little.  Memory is the growth of the resident set of a process of its own for each row."""
 
 from __future__ import annotations
 
--- a/benchmarks/capacity_fit.py
+++ b/benchmarks/capacity_fit.py
@@ -1,5 +1,5 @@
-"""Slopes for the tables of docs/CAPACITY.md: a least-squares line through four points or more, with its error,
-and the Markdown that they are written in."""
+"""Slopes for the tables of docs/CAPACITY.md: a least-squares line through four points or more, with its
+error, and the Markdown that they are written in."""
 
 from __future__ import annotations
 
--- a/benchmarks/capacity_router.py
+++ b/benchmarks/capacity_router.py
@@ -1,12 +1,14 @@
-"""What a whole router costs: a real ``run`` process before stand-in shelfs, on loopback, under a bounded load of
-the platform's front; its processor time by requests a second and by KB carried.
+"""What a whole router costs: a real ``run`` process before stand-in shelfs, on loopback, under a bounded
+load of the platform's front; its processor time by requests a second and by KB carried.
 
-    PYTHONPATH=. python benchmarks/capacity_router.py [--seconds S]
+    PYTHONPATH=. python benchmarks/capacity_router.py [--requests N] [--seconds S]
 
-440 shelfs are listed, 8 of them of the own site.  The driver (clients, discovery) and the shelfs are processes of
-their own, so that only the router's time is counted: the kernel's account of its run time, in user and system.
-Each row is one stretch of S seconds at an even rate.  Loopback moves bytes by the processor alone: a network
-card's interrupts and checksums are not in it, nor what it takes over."""
+440 shelfs are listed, 8 of them of the own site.  The driver (clients, discovery) and the shelfs are
+processes of their own, so that only the router's time is counted: the kernel's account of its run time, in
+user and system.  The first table keeps so many requests open at once, N at each size and round, and takes the
+median of ROUNDS.  The second asks at even rates; its cost a request falls as requests share turns of the
+reactor.  Loopback moves bytes by the processor alone: a network card's interrupts are not in it,
+nor what it takes over."""
 
 from __future__ import annotations
 
@@ -17,10 +19,12 @@
 import os
 import random
 import signal
+import statistics
 import subprocess
 import sys
 import tempfile
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 from capacity_fit import Line, fit, row, table
@@ -31,9 +35,10 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SIZES = (1_000, 16_000, 64_000, 240_000)  # bytes of an answer; the platform's largest is the last
-RATES = (100, 200, 300, 400)  # requests a second, of each size
+RATES = (50, 100, 200, 300, 400)  # requests a second, of the second size
+OPEN, ROUNDS = (4, 16, 48), 5  # requests open at once
 NAMED = 1_000  # of an answer's bytes: the object's name says how many of these the shelf sends
-LINKS, MOST_MS = 12, 4_000  # of the clients; for which they wait
+LINKS, MOST_MS, STRETCH_S = 16, 4_000, 20.0  # of the clients; for which they wait; for a stretch's last ends
 OWN, LISTED, PARENTS = 8, 440, 6
 NEEDED_RATE, NEEDED_BYTES = 742, 3.4e12 / 8 / 1_200  # of a router: requests, and bytes, a second
 END, HEAD = 3, 8  # of FastCGI: the kind of a request's last record; bytes before a record's content
@@ -91,6 +96,7 @@
     def __init__(self) -> None:
         self.buffer, self.ends, self.bytes, self.skip, self.last = bytearray(), 0, 0, 0, 0
         self.served, self.fresh, self.lost = 0, 0, False
+        self.again, self.size = 0, 0  # to ask at the ends of others, and for how much
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -116,9 +122,13 @@
             length = HEAD + int.from_bytes(self.buffer[4:6], "big") + self.buffer[6]
             if len(self.buffer) < length:
                 return
-            self.ends += self.buffer[1] == END
+            ended = self.buffer[1] == END
             self.served += self.buffer[HEAD : HEAD + 11] == b"Status: 200"
             del self.buffer[:length]
+            self.ends += ended
+            if ended and self.again:
+                self.again -= 1
+                self.ask(self.size)
 
 
 def config_of(listen: str, channel: str, shelf: str) -> dict[str, object]:
@@ -133,6 +143,20 @@
     return CONFIG | {"listen": listen, "channel": channel, "known": known, "limits": limits}
 
 
+@dataclass(frozen=True, slots=True)
+class Stretch:
+    """Seconds that it took, processor seconds of the router in it, requests asked and served."""
+
+    took: float
+    used: float
+    asked: int
+    served: int
+
+    @property
+    def each_us(self) -> float:
+        return self.used / max(self.served, 1) * 1e6
+
+
 class Bench:
     """The router, its surroundings, and the clients."""
 
@@ -152,20 +176,34 @@
         """Requests ended, and of these served."""
         return sum(one.ends for one in self.clients), sum(one.served for one in self.clients)
 
-    async def stretch(self, rate: float, size: int, seconds: float) -> tuple[float, float, float, int]:
-        """Share of a core, served requests a second, MB a second, and how many were not served."""
-        begun, used, before = time.monotonic(), self.used_s(), self.served()
-        loop, asked = asyncio.get_running_loop(), 0
+    async def asked_at(self, rate: float, size: int, seconds: float) -> Stretch:
+        """Open loop: asked at an even rate, whatever is answered."""
+        begun, used, before, asked = time.monotonic(), self.used_s(), self.served(), 0
         while (now := time.monotonic() - begun) < seconds:
             while asked < now * rate:
                 self.clients[asked % len(self.clients)].ask(size)
                 asked += 1
             await asyncio.sleep(0.002)
-        until = loop.time() + MOST_MS / 1_000
-        while self.served()[0] - before[0] < asked and loop.time() < until:
-            await asyncio.sleep(0.01)
-        took, served = time.monotonic() - begun, self.served()[1] - before[1]
-        return (self.used_s() - used) / took, served / took, served * size / took / 1e6, asked - served
+        return await self.ended(begun, used, before, asked)
+
+    async def kept_open(self, count: int, size: int, requests: int) -> Stretch:
+        """Closed loop: so many open at once, until so many have been asked."""
+        begun, used, before = time.monotonic(), self.used_s(), self.served()
+        clients = self.clients[: min(count, len(self.clients))]
+        for client in clients:
+            client.size, client.again = size, (requests - count) // len(clients)
+        for number in range(count):
+            clients[number % len(clients)].ask(size)
+        return await self.ended(
+            begun, used, before, count + (requests - count) // len(clients) * len(clients)
+        )
+
+    async def ended(self, begun: float, used: float, before: tuple[int, int], asked: int) -> Stretch:
+        until = time.monotonic() + STRETCH_S
+        while self.served()[0] - before[0] < asked and time.monotonic() < until:
+            await asyncio.sleep(0.005)
+        served = self.served()[1] - before[1]
+        return Stretch(time.monotonic() - begun, self.used_s() - used, asked, served)
 
 
 async def start(folder: Path) -> tuple[Bench, list[subprocess.Popen[bytes]]]:
@@ -199,75 +237,77 @@
     return Bench(router, clients), [router, shelf]
 
 
-def slopes(found: dict[int, list[tuple[float, float]]]) -> None:
-    """By requests a second for each size, and from these by the KB of a request."""
-    lines: dict[int, Line] = {size: fit(points) for size, points in found.items()}
-    rows = [
-        row(
-            f"{size / 1_000:.0f}",
-            f"{line.slope * 1e6:.0f} ± {line.slope_error * 1e6:.0f}",
-            f"{line.start:.2%} ± {line.start_error:.2%}",
-            f"{line.share:.4f}",
-            f"{1 / line.slope:,.0f}",
-            f"{size * 8 / line.slope / 1e6:,.0f}",
+async def by_rate(bench: Bench, seconds: float) -> None:
+    size, points, rows = SIZES[1], [], []
+    for rate in RATES:
+        found = await bench.asked_at(rate, size, seconds)
+        done, share = found.served / found.took, found.used / found.took
+        points.append((done, share))
+        rows.append(
+            row(rate, f"{done:.0f}", f"{share:.1%}", f"{found.each_us:.0f}", found.asked - found.served)
         )
-        for size, line in lines.items()
-    ]
-    head = "KB an answer | us of processor a request | at no request | R² "
-    print(table(head + "| requests a s of a whole core | Mbit/s of a whole core", rows))
-    line = fit([(size / 1_000, line.slope * 1e6) for size, line in lines.items()])
-    print(f"\nfit: {line.text('us', 'a KB')}")
+    print(table(f"asked a s, {size / 1e3:.0f} KB | served a s | of a core | us each | not served", rows))
+    print(f"\nfit: {fit([(x, y * 100) for x, y in points]).text('% of a core', 'a request a s', 3)}\n")
+
+
+async def by_size(bench: Bench, requests: int) -> None:
+    """The cost of a request by the KB of its answer, with so many open at once."""
+    found: dict[tuple[int, int], list[Stretch]] = {}
+    for _ in range(ROUNDS):
+        for count in OPEN:
+            for size in SIZES:
+                told = await bench.kept_open(count, size, requests)
+                found.setdefault((count, size), []).append(told)
+    rows = []
+    for (count, size), told in found.items():
+        each = [one.each_us for one in told]
+        middle, lost = statistics.median(each), sum(one.asked - one.served for one in told)
+        mbit, core = size * 8 / middle, 1e6 / middle
+        spread = f"{min(each):.0f} to {max(each):.0f}"
+        rows.append(
+            row(count, f"{size / 1e3:.0f}", f"{middle:.0f}", spread, f"{core:,.0f}", f"{mbit:,.0f}", lost)
+        )
+    head = "open at once | KB an answer | us of processor a request, median | least to most "
+    print(table(head + "| requests a s of a whole core | Mbit/s of a whole core | not served", rows) + "\n")
+    for count in OPEN:
+        pairs = [(size / 1e3, statistics.median(o.each_us for o in found[count, size])) for size in SIZES]
+        needed(count, fit(pairs))
+
+
+def needed(count: int, line: Line) -> None:
+    """The fit, and what it comes to at the size of the issue."""
     kb = NEEDED_BYTES / NEEDED_RATE / 1_000
-    whole = (line.at(0) * NEEDED_RATE + line.slope * NEEDED_RATE * kb) / 1e6
-    print(f"worked out for {NEEDED_RATE} requests a s of {kb:.0f} KB: {whole:.2f} cores")
+    cores = line.at(kb) * NEEDED_RATE / 1e6
+    alone = line.at(0) * NEEDED_RATE / 1e6
+    print(f"fit, {count} open: {line.text('us', 'a KB')}")
     print(
-        f"{NEEDED_RATE} requests a s alone, without their bytes: {line.at(0) * NEEDED_RATE / 1e6:.2f} cores\n"
+        f"worked out: {NEEDED_RATE} requests a s of {kb:.0f} KB ({NEEDED_BYTES * 8 / 1e6:,.0f} Mbit/s) take "
+        f"{cores:.2f} cores; without their bytes {alone:.2f}\n"
     )
 
 
-async def measure(seconds: float) -> None:
+async def measure(requests: int, seconds: float) -> None:
     with tempfile.TemporaryDirectory() as folder:
         bench, children = await start(Path(folder))
         try:
-            await bench.stretch(50, SIZES[0], 1.0)
-            print(f"memory after the start, 440 listed: {bench.resident_mb():.1f} MB\n")
-            found: dict[int, list[tuple[float, float]]] = {size: [] for size in SIZES}
-            rows = []
-            for rate in RATES:
-                for size in SIZES:
-                    share, done, mb, lost = await bench.stretch(rate, size, seconds)
-                    found[size].append((done, share))
-                    rows.append(
-                        row(f"{size / 1e3:.0f}", f"{done:.0f}", f"{mb * 8:,.0f}", f"{share:.1%}", lost)
-                    )
-            print(table("KB an answer | requests a s | Mbit/s | of a core | not served", rows) + "\n")
-            slopes(found)
-            print(f"memory after it: {bench.resident_mb():.1f} MB\n")
-            await full(bench, found, seconds)
+            await bench.kept_open(4, SIZES[0], 200)
+            print(f"memory after the start, {LISTED} listed: {bench.resident_mb():.1f} MB\n")
+            await by_size(bench, requests)
+            await by_rate(bench, seconds)
+            print(f"memory after all: {bench.resident_mb():.1f} MB")
         finally:
             for child in children:
                 child.kill()
                 child.wait()
 
 
-async def full(bench: Bench, found: dict[int, list[tuple[float, float]]], seconds: float) -> None:
-    """What one core really takes of the largest answers: asked for more and more, up to a whole core."""
-    line, size, rows = fit(found[SIZES[-1]]), SIZES[-1], []
-    for part in (0.6, 0.75, 0.9, 1.05):
-        share, done, mb, lost = await bench.stretch(part / line.slope, size, seconds)
-        rows.append(
-            row(f"{part / line.slope:.0f}", f"{done:.0f}", f"{mb * 8:,.0f}", f"{share:.1%}", f"{lost}")
-        )
-    print(table("asked a s, 240 KB | served a s | Mbit/s | of a core | not served", rows))
-    print(f"\nneeded of a router: {NEEDED_RATE} a s, {NEEDED_BYTES * 8 / 1e6:,.0f} Mbit/s\n")
-
-
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=4.0)
+    parser.add_argument("--requests", type=int, default=600)
     parser.add_argument("--shelf", action="store_true")
     args = parser.parse_args()
-    asyncio.run(serve_shelf() if args.shelf else measure(args.seconds))
+    asyncio.run(serve_shelf() if args.shelf else measure(args.requests, args.seconds))
 
 
 if __name__ == "__main__":
