--- a/benchmarks/capacity_decisions.py
+++ b/benchmarks/capacity_decisions.py
@@ -3,9 +3,9 @@
 
     PYTHONPATH=. python benchmarks/capacity_decisions.py [--requests N] [PART...]
 
-Parts: ``site``, ``parents``, ``list``, ``memory`` (all of them where none is named).  One process at a time,
-no sockets; processor time is the process's own, the least of ROUNDS alternating rounds, so that a busy
-machine disturbs it little.  Memory is the growth of the resident set of a process of its own for each row."""
+Parts: ``site``, ``parents``, ``list``, ``purges``, ``memory`` (all of them where none is named).  One process
+at a time, no sockets; processor time is the process's own, the least of ROUNDS alternating rounds, so that a
+busy machine disturbs it little.  Memory is the growth of the resident set of a process of its own a row."""
 
 from __future__ import annotations
 
@@ -76,7 +76,7 @@
             self.number += 1
             key = self.draw.randrange(self.objects)
             spent += self.give(api.Request(f"r{self.number}", "films", key, 5_000.0, size_kb=477.0))
-        return spent / count * 1e6
+        return spent / max(count, 1) * 1e6
 
 
 def least(rounds: list[list[float]]) -> list[float]:
@@ -133,6 +133,19 @@
     print()
 
 
+def purges(_: int) -> None:
+    """Processor time of a purge by the purges that are known already."""
+    points = []
+    for known in (100, 500, 1_000, 2_000, 4_000):
+        load = Load(listed(SITE), OBJECTS)
+        for key in range(known):
+            load.give(api.Purged(0, 0.0, key))
+        rounds = [sum(load.give(api.Purged(0, 0.0, key)) for key in range(50)) for _ in range(20)]
+        points.append((known, min(rounds) / 50 * 1e6))
+    print(table("purges known | us a purge", [row(known, f"{us:.2f}") for known, us in points]))
+    print(f"\nfit: {fit([(known / 1_000, us) for known, us in points]).text('us', 'a thousand')}\n")
+
+
 def resident_kb() -> int:
     """The resident set of this process."""
     text = Path("/proc/self/status").read_text()
@@ -173,6 +186,7 @@
     "site": site,
     "parents": parents,
     "list": lists,
+    "purges": purges,
     "memory": memory,
 }
 
--- /dev/null
+++ b/benchmarks/capacity_membership.py
@@ -0,0 +1,121 @@
+"""What the fleet layer costs a member by the members there are: membership in simulation, a voter's leases.
+
+    PYTHONPATH=. python benchmarks/capacity_membership.py [--members N...] [PART...]
+
+Parts: ``steady`` (datagrams, bytes and processor time of a member, rounds to spread; the fleet of
+``fleet_figures.py``, shares of the budgets on the same datagrams) and ``voter`` (processor time of a lease
+that a voter is asked for).  In simulation the network's own work is in the processor time: it is at most so
+much."""
+
+from __future__ import annotations
+
+import argparse
+import math
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import fleet_figures as figures
+from capacity_fit import fit, row, table
+from fleet_modes import ShareKeeper, ShareSettings
+from fleet_sim import Quality, World, node_names
+from fleet_sim.membership_checks import view_of
+from msgspec import msgpack
+
+MEMBERS, VOTER_MEMBERS = (5, 20, 50, 100, 200), (50, 200, 600, 1_200)
+WANTED, VOTERS, STEADY_MS, ASKS = 1_200, 5, 10_000.0, 400
+
+
+def all_met(world: World, count: int) -> bool:
+    views = (view_of(world, node) for node in world.nodes.values())
+    return all(view is not None and len(view.members) >= count for view in views)
+
+
+def spread_s(world: World, count: int) -> float:
+    """Seconds until all know that one has begun a new life."""
+    changed = node_names(count)[-1]
+    watch = figures.Watch(world, changed)
+    world.kill(changed)
+    world.start(changed)
+    took = figures.until(world, lambda: len(watch.first) == count - 1)
+    world.listeners.pop()
+    return took / 1_000
+
+
+def steady_of(count: int) -> tuple[float, float, float, float, float]:
+    """Of a member: datagrams and bytes it sends a second, us of processor time a second, KB that it holds;
+    then the seconds until all know of a new life."""
+    tracemalloc.start()
+    world = figures.fleet(count, 1, Quality())
+    figures.until(world, lambda: all_met(world, count))
+    held_kb = tracemalloc.get_traced_memory()[0] / count / 1_024
+    tracemalloc.stop()
+    world.run_until(world.now + 3 * figures.JOIN_MS)
+    before = [(node.sent, node.sent_bytes) for node in world.nodes.values()]
+    begun = time.process_time()
+    world.run_until(world.now + STEADY_MS)
+    used = time.process_time() - begun
+    after = [(node.sent, node.sent_bytes) for node in world.nodes.values()]
+    span = count * STEADY_MS / 1_000
+    sent, octets = (sum(b[i] - a[i] for a, b in zip(before, after, strict=True)) / span for i in (0, 1))
+    return sent, octets, used / span * 1e6, held_kb, spread_s(world, count)
+
+
+def steady(counts: tuple[int, ...]) -> None:
+    found = {count: steady_of(count) for count in counts}
+    rows = [
+        row(count, f"{sent:.2f}", f"{octets:.0f}", f"{used:.0f}", f"{kb:.0f}", f"{spread:.1f}")
+        for count, (sent, octets, used, kb, spread) in found.items()
+    ]
+    head = "members | datagrams a member and s | bytes a member and s | us of processor a member and s "
+    print(table(head + "| KB a member holds | s until all know of a new life", rows) + "\n")
+    for at, unit in enumerate(("datagrams/s", "bytes/s", "us/s", "KB", "s")):
+        for name, scale in (("member", float), ("doubling of the members", math.log2)):
+            line = fit([(scale(count), told[at]) for count, told in found.items()])
+            at_wanted = line.at(scale(WANTED))
+            print(f"fit: {line.text(unit, f'a {name}', 3)}; at {WANTED}: {at_wanted:.1f}")
+    print()
+
+
+def lease_us(count: int) -> float:
+    """A voter is asked by each router in turn, all of them holding leases: us of processor an ask."""
+    names = node_names(count)
+    settings = ShareSettings(names, names[:VOTERS])
+    voter = ShareKeeper(settings, names[0], 1, 0.0)
+    # As a router's own asks are written: life, number, after the tag of their kind.
+    asks = [msgpack.encode((1, 1, number)) for number in range(1, 3)]
+    now = settings.kept_ms + 1.0
+    for name in names:
+        assert voter.heard(now, name, asks[0], names) is not None
+    begun = time.process_time()
+    for number in range(ASKS):
+        voter.heard(now + number, names[number % count], asks[1], names)
+    return (time.process_time() - begun) / ASKS * 1e6
+
+
+def voter(_: tuple[int, ...]) -> None:
+    found = {count: min(lease_us(count) for _ in range(3)) for count in VOTER_MEMBERS}
+    every_s = ShareSettings(("a",), ("a",)).lease_ms / 4_000
+    rows = [
+        row(count, f"{count / every_s:.0f}", f"{us:.0f}", f"{us * count / every_s / 1e6:.1%}")
+        for count, us in found.items()
+    ]
+    print(table("routers | asks a s at a voter | us an ask | of a core", rows))
+    line = fit(list(found.items()))
+    print(f"\nfit: {line.text('us', 'a router')}\n")
+
+
+PARTS: dict[str, Callable[[tuple[int, ...]], None]] = {"voter": voter, "steady": steady}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--members", type=int, nargs="+", default=list(MEMBERS))
+    parser.add_argument("parts", nargs="*")
+    args = parser.parse_args()
+    for name in args.parts or PARTS:
+        PARTS[name](tuple(args.members))
+
+
+if __name__ == "__main__":
+    main()
