--- a/benchmarks/capacity_membership.py
+++ b/benchmarks/capacity_membership.py
@@ -4,16 +4,18 @@
 
 Parts: ``steady`` (datagrams, bytes and processor time of a member, rounds to spread; the fleet of
 ``fleet_figures.py``, shares of the budgets on the same datagrams) and ``voter`` (processor time of a lease
-that a voter is asked for).  In simulation the network's own work is in the processor time: it is at most so
-much."""
+that a voter is asked for).  Processor time is that of the members' own machines: without sockets, and without
+the simulated network.  A fleet of voters alone is no point of a fit."""
 
 from __future__ import annotations
 
 import argparse
 import math
+import statistics
 import time
 import tracemalloc
 from collections.abc import Callable
+from typing import Any
 
 import fleet_figures as figures
 from capacity_fit import fit, row, table
@@ -22,8 +24,24 @@
 from fleet_sim.membership_checks import view_of
 from msgspec import msgpack
 
-MEMBERS, VOTER_MEMBERS = (5, 20, 50, 100, 200), (50, 200, 600, 1_200)
-WANTED, VOTERS, STEADY_MS, ASKS = 1_200, 5, 10_000.0, 400
+MEMBERS, VOTER_MEMBERS = (5, 20, 50, 100, 200, 400), (50, 200, 600, 1_200)
+WANTED, VOTERS, STEADY_MS, ASKS, CHANGES = 1_200, 5, 10_000.0, 400, 5
+
+
+class Timed:
+    """A member's machine, and how long it worked."""
+
+    def __init__(self, machine: Any) -> None:
+        self.machine, self.used = machine, 0.0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.machine, name)
+
+    def handle(self, now: float, event: Any) -> Any:
+        begun = time.process_time()
+        actions = self.machine.handle(now, event)
+        self.used += time.process_time() - begun
+        return actions
 
 
 def all_met(world: World, count: int) -> bool:
@@ -32,8 +50,12 @@
 
 
 def spread_s(world: World, count: int) -> float:
-    """Seconds until all know that one has begun a new life."""
-    changed = node_names(count)[-1]
+    """Seconds until all know that one has begun a new life: the median of CHANGES."""
+    changed = node_names(count)[-CHANGES:]
+    return statistics.median(spread_of(world, name, count) for name in changed)
+
+
+def spread_of(world: World, changed: str, count: int) -> float:
     watch = figures.Watch(world, changed)
     world.kill(changed)
     world.start(changed)
@@ -42,9 +64,9 @@
     return took / 1_000
 
 
-def steady_of(count: int) -> tuple[float, float, float, float, float]:
-    """Of a member: datagrams and bytes it sends a second, us of processor time a second, KB that it holds;
-    then the seconds until all know of a new life."""
+def steady_of(count: int) -> tuple[float, ...]:
+    """Of a member that is no voter: datagrams and bytes it sends a second, us of processor time a second; of
+    a voter the same bytes and time; KB that a member holds, and seconds until all know of a new life."""
     tracemalloc.start()
     world = figures.fleet(count, 1, Quality())
     figures.until(world, lambda: all_met(world, count))
@@ -52,26 +74,38 @@
     tracemalloc.stop()
     world.run_until(world.now + 3 * figures.JOIN_MS)
     before = [(node.sent, node.sent_bytes) for node in world.nodes.values()]
-    begun = time.process_time()
+    machines = [Timed(node.machine) for node in world.nodes.values()]
+    for node, machine in zip(world.nodes.values(), machines, strict=True):
+        node.machine = machine
     world.run_until(world.now + STEADY_MS)
-    used = time.process_time() - begun
+    used = [machine.used / STEADY_MS * 1e9 for machine in machines]
+    for node, machine in zip(world.nodes.values(), machines, strict=True):
+        node.machine = machine.machine
     after = [(node.sent, node.sent_bytes) for node in world.nodes.values()]
-    span = count * STEADY_MS / 1_000
-    sent, octets = (sum(b[i] - a[i] for a, b in zip(before, after, strict=True)) / span for i in (0, 1))
-    return sent, octets, used / span * 1e6, held_kb, spread_s(world, count)
+    sent, octets = (
+        [(b[i] - a[i]) / STEADY_MS * 1_000 for a, b in zip(before, after, strict=True)] for i in (0, 1)
+    )
+    plain, voting = slice(VOTERS, None) if count > VOTERS else slice(None), slice(VOTERS)
+    told = (
+        statistics.mean(one)
+        for one in (sent[plain], octets[plain], used[plain], octets[voting], used[voting])
+    )
+    return *told, held_kb, spread_s(world, count)
 
 
 def steady(counts: tuple[int, ...]) -> None:
     found = {count: steady_of(count) for count in counts}
     rows = [
-        row(count, f"{sent:.2f}", f"{octets:.0f}", f"{used:.0f}", f"{kb:.0f}", f"{spread:.1f}")
-        for count, (sent, octets, used, kb, spread) in found.items()
+        row(count, f"{sent:.2f}", *(f"{one:.0f}" for one in told), f"{spread:.1f}")
+        for count, (sent, *told, spread) in found.items()
     ]
-    head = "members | datagrams a member and s | bytes a member and s | us of processor a member and s "
+    head = "members | datagrams a s | bytes a s | us of processor a s | a voter: bytes a s | us a s "
     print(table(head + "| KB a member holds | s until all know of a new life", rows) + "\n")
-    for at, unit in enumerate(("datagrams/s", "bytes/s", "us/s", "KB", "s")):
+    for at, unit in enumerate(
+        ("datagrams/s", "bytes/s", "us/s", "voter's bytes/s", "voter's us/s", "KB", "s")
+    ):
         for name, scale in (("member", float), ("doubling of the members", math.log2)):
-            line = fit([(scale(count), told[at]) for count, told in found.items()])
+            line = fit([(scale(count), told[at]) for count, told in found.items() if count > VOTERS])
             at_wanted = line.at(scale(WANTED))
             print(f"fit: {line.text(unit, f'a {name}', 3)}; at {WANTED}: {at_wanted:.1f}")
     print()
--- a/benchmarks/capacity_router.py
+++ b/benchmarks/capacity_router.py
@@ -36,7 +36,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SIZES = (1_000, 16_000, 64_000, 240_000)  # bytes of an answer; the platform's largest is the last
 RATES = (50, 100, 200, 300, 400)  # requests a second, of the second size
-OPEN, ROUNDS = (4, 16, 48), 5  # requests open at once
+OPEN, FULL_OPEN, ROUNDS = (4, 16, 48), (16, 48, 96, 128), 5  # requests open at once
 NAMED = 1_000  # of an answer's bytes: the object's name says how many of these the shelf sends
 LINKS, MOST_MS, STRETCH_S = 16, 4_000, 20.0  # of the clients; for which they wait; for a stretch's last ends
 OWN, LISTED, PARENTS = 8, 440, 6
@@ -267,13 +267,24 @@
         rows.append(
             row(count, f"{size / 1e3:.0f}", f"{middle:.0f}", spread, f"{core:,.0f}", f"{mbit:,.0f}", lost)
         )
-    head = "open at once | KB an answer | us of processor a request, median | least to most "
-    print(table(head + "| requests a s of a whole core | Mbit/s of a whole core | not served", rows) + "\n")
+    head = "open at once | KB an answer | us of processor a request, median | least to most | worked out: "
+    print(table(head + "requests a s of a whole core | Mbit/s of a whole core | not served", rows) + "\n")
     for count in OPEN:
         pairs = [(size / 1e3, statistics.median(o.each_us for o in found[count, size])) for size in SIZES]
         needed(count, fit(pairs))
 
 
+async def full(bench: Bench, requests: int) -> None:
+    """As much of the largest answers as the router takes, its own admission in force."""
+    rows = []
+    for count in FULL_OPEN:
+        told = await bench.kept_open(count, SIZES[-1], 4 * requests)
+        rate, share = told.served / told.took, told.used / told.took
+        mbit = rate * SIZES[-1] * 8 / 1e6
+        rows.append(row(count, f"{rate:.0f}", f"{mbit:,.0f}", f"{share:.0%}", told.asked - told.served))
+    print(table("open at once, 240 KB | served a s | Mbit/s | of a core | not served", rows) + "\n")
+
+
 def needed(count: int, line: Line) -> None:
     """The fit, and what it comes to at the size of the issue."""
     kb = NEEDED_BYTES / NEEDED_RATE / 1_000
@@ -293,6 +304,7 @@
             await bench.kept_open(4, SIZES[0], 200)
             print(f"memory after the start, {LISTED} listed: {bench.resident_mb():.1f} MB\n")
             await by_size(bench, requests)
+            await full(bench, requests)
             await by_rate(bench, seconds)
             print(f"memory after all: {bench.resident_mb():.1f} MB")
         finally:
