--- a/benchmarks/capacity_router.py
+++ b/benchmarks/capacity_router.py
@@ -1,13 +1,13 @@
 """What a whole router costs: a real ``run`` process before stand-in shelfs, on loopback, under a bounded
 load of the platform's front; its processor time by requests a second and by KB carried.
 
-    PYTHONPATH=. python benchmarks/capacity_router.py [--requests N] [--seconds S]
+    PYTHONPATH=. python benchmarks/capacity_router.py [--requests N] [--seconds S] [--only-full]
 
 440 shelfs are listed, 8 of them of the own site.  The driver (clients, discovery) and the shelfs are
 processes of their own, so that only the router's time is counted: the kernel's account of its run time, in
-user and system.  The first table keeps so many requests open at once, in bursts with rests between, N at each
-size and round, and takes the median of ROUNDS; the second asks without a rest, so that the router's own
-admission refuses; the third asks at even rates, where each request costs turns of the reactor of its own.
+user and system.  The first table keeps so many requests open at once, without a rest, until the router's own
+admission refuses some; the second does so in bursts with rests between, N at each size and round; both take
+the median of ROUNDS; the third asks at even rates, where each request costs turns of the reactor of its own.
 Loopback moves bytes by the processor alone: a network card's interrupts are not in it,
 nor what it takes over."""
 
@@ -286,13 +286,23 @@
 
 async def full(bench: Bench, requests: int) -> None:
     """As much of the largest answers as the router takes, its own admission in force."""
+    found: dict[int, list[Stretch]] = {count: [] for count in FULL_OPEN}
+    for _ in range(ROUNDS):
+        for count, told in found.items():
+            told.append(await bench.kept_open(count, SIZES[-1], 2 * requests))
+            await asyncio.sleep(1.0)
     rows = []
-    for count in FULL_OPEN:
-        told = await bench.kept_open(count, SIZES[-1], 4 * requests)
-        rate, share = told.served / told.took, told.used / told.took
-        mbit = rate * SIZES[-1] * 8 / 1e6
-        rows.append(row(count, f"{rate:.0f}", f"{mbit:,.0f}", f"{share:.0%}", told.asked - told.served))
-    print(table("open at once, 240 KB | served a s | Mbit/s | of a core | not served", rows) + "\n")
+    for count, told in found.items():
+        rates = sorted(one.served / one.took for one in told)
+        mbit = [rate * SIZES[-1] * 8 / 1e6 for rate in rates]
+        share = statistics.median(one.used / one.took for one in told)
+        each = sorted(one.each_us for one in told)
+        spread = f"{each[ROUNDS // 2]:.0f} ({each[0]:.0f} to {each[-1]:.0f})"
+        lost = sum(one.asked - one.served for one in told) / sum(one.asked for one in told)
+        carried = f"{mbit[ROUNDS // 2]:,.0f} ({mbit[0]:,.0f} to {mbit[-1]:,.0f})"
+        rows.append(row(count, f"{rates[ROUNDS // 2]:.0f}", carried, f"{share:.0%}", spread, f"{lost:.1%}"))
+    head = "open at once, 240 KB | served a s, median | Mbit/s (least to most) | of a core "
+    print(table(head + "| us each (least to most) | not served", rows) + "\n")
 
 
 def needed(count: int, line: Line) -> None:
@@ -307,14 +317,16 @@
     )
 
 
-async def measure(requests: int, seconds: float) -> None:
+async def measure(requests: int, seconds: float, only_full: bool) -> None:
     with tempfile.TemporaryDirectory() as folder:
         bench, children = await start(Path(folder))
         try:
             await bench.kept_open(LINKS, SIZES[0], 200)  # one that never asks is closed
             print(f"memory after the start, {LISTED} listed: {bench.resident_mb():.1f} MB\n")
-            await by_size(bench, requests)
             await full(bench, requests)
+            if only_full:
+                return
+            await by_size(bench, requests)
             await by_rate(bench, seconds)
             print(f"memory after all: {bench.resident_mb():.1f} MB")
         finally:
@@ -327,9 +339,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=4.0)
     parser.add_argument("--requests", type=int, default=600)
+    parser.add_argument("--only-full", action="store_true")
     parser.add_argument("--shelf", action="store_true")
     args = parser.parse_args()
-    asyncio.run(serve_shelf() if args.shelf else measure(args.requests, args.seconds))
+    asyncio.run(serve_shelf() if args.shelf else measure(args.requests, args.seconds, args.only_full))
 
 
 if __name__ == "__main__":
