--- a/benchmarks/capacity_fleet.py
+++ b/benchmarks/capacity_fleet.py
@@ -8,14 +8,13 @@
 
 from __future__ import annotations
 
-import argparse
 import heapq
 import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 
-from capacity_fit import fit, row, table
+from capacity_fit import fit, row, sized_main, table
 
 from tests import test_cold_fleet as cold_model
 from tests import test_fleet_origin as origin_model
@@ -245,14 +244,5 @@
 }
 
 
-def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--routers", type=int, nargs="+", default=list(ROUTERS))
-    parser.add_argument("parts", nargs="*")
-    args = parser.parse_args()
-    for name in args.parts or PARTS:
-        PARTS[name](tuple(args.routers))
-
-
 if __name__ == "__main__":
-    main()
+    sized_main(__doc__, "--routers", ROUTERS, PARTS)
--- a/benchmarks/capacity_membership.py
+++ b/benchmarks/capacity_membership.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import argparse
 import math
 import statistics
 import time
@@ -18,7 +17,7 @@
 from typing import Any
 
 import fleet_figures as figures
-from capacity_fit import fit, row, table
+from capacity_fit import fit, row, sized_main, table
 from fleet_modes import ShareKeeper, ShareSettings
 from fleet_sim import Quality, World, node_names
 from fleet_sim.membership_checks import view_of
@@ -145,14 +144,5 @@
 PARTS: dict[str, Callable[[tuple[int, ...]], None]] = {"voter": voter, "steady": steady}
 
 
-def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--members", type=int, nargs="+", default=list(MEMBERS))
-    parser.add_argument("parts", nargs="*")
-    args = parser.parse_args()
-    for name in args.parts or PARTS:
-        PARTS[name](tuple(args.members))
-
-
 if __name__ == "__main__":
-    main()
+    sized_main(__doc__, "--members", MEMBERS, PARTS)
