--- a/benchmarks/capacity_membership.py
+++ b/benchmarks/capacity_membership.py
@@ -2,10 +2,11 @@
 
     PYTHONPATH=. python benchmarks/capacity_membership.py [--members N...] [PART...]
 
-Parts: ``steady`` (datagrams, bytes and processor time of a member, rounds to spread; the fleet of
-``fleet_figures.py``, shares of the budgets on the same datagrams) and ``voter`` (processor time of a lease
-that a voter is asked for).  Processor time is that of the members' own machines: without sockets, and without
-the simulated network.  A fleet of voters alone is no point of a fit."""
+Parts: ``voter`` (processor time of a lease that a voter is asked for), ``door`` (the reply to the operators'
+call ``fleet``) and ``steady`` (datagrams, bytes and processor time of a member, seconds to spread; the fleet
+of ``fleet_figures.py``, shares of the budgets on the same datagrams).  Processor time there is that of the
+members' own machines: without sockets, and without the simulated network.  A fleet of voters alone is no
+point of a fit."""
 
 from __future__ import annotations
 
@@ -14,15 +15,20 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import fleet_figures as figures
 from capacity_fit import fit, row, sized_main, table
+from fleet_membership import MemberView, Mode, View
 from fleet_modes import ShareKeeper, ShareSettings
 from fleet_sim import Quality, World, node_names
 from fleet_sim.membership_checks import view_of
+from fleet_wire import MemberState
 from msgspec import msgpack
 
+from thornjunction.runtime.fleet import Fleet
+
 MEMBERS, VOTER_MEMBERS = (5, 20, 50, 100, 200, 400), (50, 200, 600, 1_200)
 WANTED, VOTERS, STEADY_MS, ASKS, CHANGES, TRACED = 1_200, 5, 10_000.0, 400, 5, 400
 
@@ -141,7 +147,26 @@
     print(f"\nfit: {line.text('us', 'a router')}\n")
 
 
-PARTS: dict[str, Callable[[tuple[int, ...]], None]] = {"voter": voter, "steady": steady}
+def door(_: tuple[int, ...]) -> None:
+    """The reply alone: the machine keeps its view until somebody's state changes."""
+    found = {}
+    for count in VOTER_MEMBERS:
+        names = node_names(count)
+        members = {name: MemberView(name, ("10.0.0.1", 1), 1 << 40, MemberState.ALIVE) for name in names}
+        told = View(1, members, True, 0.0, Mode.WITH_MAJORITY, 0)
+        asked: Any = SimpleNamespace(machine=SimpleNamespace(view=lambda now, told=told: told))
+        begun = time.process_time()
+        replies = [Fleet.view(asked) for _ in range(20)]
+        found[count] = len(replies[0]) / 1e3, (time.process_time() - begun) / 20 * 1e6
+    rows = [row(count, f"{kb:.1f}", f"{us:.0f}") for count, (kb, us) in found.items()]
+    print(table("members | KB a reply | us a reply", rows) + "\n")
+    for at, unit in enumerate(("KB", "us")):
+        line = fit([(count, told[at]) for count, told in found.items()])
+        print(f"fit: {line.text(unit, 'a member', 3)}")
+    print()
+
+
+PARTS: dict[str, Callable[[tuple[int, ...]], None]] = {"voter": voter, "door": door, "steady": steady}
 
 
 if __name__ == "__main__":
