--- a/benchmarks/capacity_stage.py
+++ b/benchmarks/capacity_stage.py
@@ -1,5 +1,5 @@
-"""The stage of ``capacity_router.py``: a real ``run`` process, the shelfs in a process of their own, discovery
-and the clients in this one, all on loopback.  Run by itself it is the shelfs' process."""
+"""The stage of ``capacity_router.py``: a real ``run`` process, the shelfs in a process of their own, and
+discovery and the clients in this one, all on loopback.  Run by itself it is the shelfs' process."""
 
 from __future__ import annotations
 
