--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -241,7 +241,12 @@
         rig, (a, b) = yield self.begun("A", "B")
         b.list_(9, **{f"shelf-of-a-long-name-{at}": "active" for at in range(3000)}).purge(2, 20)
         yield a.kill()
-        yield rig.asked(b, 2)
+
+        def turned() -> bool:
+            rig.pass_time(0.0)
+            return len(b.polls) > 1
+
+        yield until(turned)
         self.assertEqual((len(rig.listed()), rig.purged()), (3002, [1, 2]))
         self.assertEqual((rig.channel.follower.seq, rig.channel.sources.moves), (9, 1))
 
