--- a/packages/control-relay/src/control_relay/machine.py
+++ b/packages/control-relay/src/control_relay/machine.py
@@ -55,7 +55,7 @@
         self.marks = Marks(base - 1, settings.recent)
         self.routers = Routers(settings, 0.0)
         self.ready = False
-        self.as_of = -math.inf
+        self.as_of = self._told_as_of = -math.inf  # of what is known; of what has gone out
         self._whole_told = 0  # the latest list that went out in a whole state
         self._join_at: float | None = None
         self._handlers: dict[type, Callable[[float, Any], list[RelayAction]]] = {
@@ -93,7 +93,8 @@
         return views.handed_up(self.marks, self.routers, self.log.told)
 
     def age_ms(self, now: float) -> float:
-        return max(0.0, now - self.as_of)
+        """Of what has gone out: discovery confirmed that it stood so, so long ago or later."""
+        return max(0.0, now - self._told_as_of)
 
     # -- from upstream
 
@@ -130,6 +131,11 @@
     def _confirmed(self, now: float, event: Confirmed) -> list[RelayAction]:
         if math.isfinite(event.age_ms):
             self.as_of = max(self.as_of, now - max(0.0, event.age_ms))
+        if not self.log.pending:  # else what goes out now lacks what waits, and is older
+            self._told_as_of = self.as_of
+        if event.number:
+            self.marks.taken(self.log.head, whole_number(event.number))
+            self._advance(now)
         if self.ready or not self.state.shelves.number or self.as_of == -math.inf:
             return []
         self.ready = True
@@ -142,6 +148,10 @@
         self.waiting.remove(poller)
         if not self.ready:
             return [Refuse(poller, "no-state")]
+        if event.role in ("probe", "leaving"):
+            if event.role == "leaving":
+                self._left(now, event)
+            return [Answer(poller, self.pages.changes(now, self.age_ms(now), self.log.told).body)]
         if len(self.waiting) >= self.settings.most_waiting:
             return [Refuse(poller, "polls-full")]
         block_ms = duration(event.block_ms, self.settings.most_block_ms)
@@ -165,7 +175,17 @@
     def _router(self, now: float, event: Polled, block_ms: float) -> Router | None:
         named = isinstance(event.name, str) and NAME.fullmatch(event.name)
         role = "relay" if event.role == "relay" else "router"
-        return self.routers.polled(now, event.name if named else f"#{event.poller}", role, block_ms)
+        router = self.routers.polled(now, event.name if named else f"#{event.poller}", role, block_ms)
+        if router is not None:
+            router.poller = event.poller
+        return router
+
+    def _left(self, now: float, event: Polled) -> None:
+        """Guards one who has come back on another connection against its own late farewell."""
+        router = self.routers.get(event.name)
+        if router is not None and router.poller == event.poller:
+            self.routers.dismiss(event.name)
+            self._advance(now)
 
     def _heard(self, router: Router, event: Polled, resume: int) -> bool:
         """Take a confirmation in this epoch; False if the number went back: this is another life."""
@@ -221,6 +241,7 @@
         if router is not None:
             if reply.whole:
                 router.whole_at = reply.whole
+                router.told.clear()  # Guards the list: its number comes after those of purges in a whole state
             elif router.whole_at is None:
                 router.whole_at = 0
             if reply.covers:
@@ -229,6 +250,7 @@
 
     def _gone(self, now: float, event: PollerGone) -> list[RelayAction]:
         self.waiting.remove(event.poller)
+        self._dismissed(now, Dismissed(f"#{event.poller}"))
         return []
 
     def _dismissed(self, now: float, event: Dismissed) -> list[RelayAction]:
@@ -263,6 +285,7 @@
             return []
         before = self.log.told
         self.log.flush()
+        self._told_as_of = self.as_of
         self.pages.clear()
         self.flushes.add(self.log.told, now)
         actions: list[RelayAction] = []
--- a/packages/control-relay/src/control_relay/marks.py
+++ b/packages/control-relay/src/control_relay/marks.py
@@ -38,11 +38,10 @@
 
     def taken(self, own: int, upstream: int) -> None:
         """An event of the upstream stands under the relay's numbers up to ``own``."""
-        if self._upstream and upstream < self._upstream[-1][1]:
-            self.attached()  # Guards against numbers that went back unannounced
-        if self._upstream and self._upstream[-1][0] == own:
-            self._upstream.pop()
-        self._upstream.append((own, upstream))
+        last = upstream
+        while self._upstream and (self._upstream[-1][1] >= upstream or self._upstream[-1][0] == own):
+            last = max(last, self._upstream.pop()[1])  # Guards an event that comes after later ones
+        self._upstream.append((own, last))
         if len(self._upstream) > MOST_MARKS:
             self._upstream = deque(list(self._upstream)[1::2])
 
--- a/packages/control-relay/src/control_relay/pages.py
+++ b/packages/control-relay/src/control_relay/pages.py
@@ -17,8 +17,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """Events up to ``last``.  Who has taken them holds all up to ``covers``; 0: nothing, the list is to
-    come."""
+    """Events up to ``last``.  Who has taken them holds all up to ``covers``; 0: more is to
+    come, and until then a router may hold back the list that it has been told."""
 
     events: bytes
     cursor: int
@@ -68,10 +68,8 @@
         return reply
 
     def _whole_page(self, resume: int) -> Page:
-        """Guards the list: who has taken purges of a whole state, but not yet its list, holds nothing."""
-        number = self._shelves.number
-        page = self._page(merge(self._log.purges_after(resume), [(number, self._shelves.event())]))
-        return page if page.last >= number else Page(page.events, page.cursor, page.last, 0)
+        whole = self._shelves.number, self._shelves.event()
+        return self._page(merge(self._log.purges_after(resume), [whole]))
 
     def _page(self, events: Iterable[tuple[int, bytes]]) -> Page:
         """The cursor is the last event's number, or what there is to tell if more is to come."""
@@ -79,7 +77,7 @@
         size = last = 0
         for number, data in events:
             if taken and size + len(data) + 1 > self._most:
-                return Page(b",".join(taken), self._log.told, last, last)
+                return Page(b",".join(taken), self._log.told, last, 0)
             taken.append(data)
             size += len(data) + 1
             last = number
--- a/packages/control-relay/src/control_relay/purges.py
+++ b/packages/control-relay/src/control_relay/purges.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import islice
 
 from sortedcontainers import SortedList
 
@@ -77,11 +78,9 @@
             self.remove(purge)
             yield purge
 
+    def by_end(self) -> Iterator[Purge]:
+        """The one whose hold passes first comes first."""
+        return (purge for _, _, purge in self._ends)
+
     def oldest_objects(self, most: int) -> list[Purge]:
-        found = []
-        for _, _, purge in self._ends:
-            if isinstance(purge.what, str):
-                found.append(purge)
-                if len(found) == most:
-                    break
-        return found
+        return list(islice((purge for purge in self.by_end() if isinstance(purge.what, str)), most))
--- a/packages/control-relay/src/control_relay/routers.py
+++ b/packages/control-relay/src/control_relay/routers.py
@@ -25,6 +25,7 @@
     role: str
     expected: bool
     seen_at: float
+    poller: int = 0
     block_ms: float = 0.0
     resume: int = 0
     whole_at: int | None = None
--- a/packages/control-relay/src/control_relay/seam.py
+++ b/packages/control-relay/src/control_relay/seam.py
@@ -47,17 +47,21 @@
 @dataclass(frozen=True, slots=True)
 class Confirmed:
     """An upstream's answer has come whole: all that was told so far stood so ``age_ms`` ago, or later.  The
-    first one after a whole list makes the relay ready."""
+    first one after a whole list makes the relay ready.  ``number`` is the upstream's up to which all was
+    taken or passed over, 0 where that is not known: without it, what was passed over is never handed up as
+    done."""
 
     age_ms: float
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Polled:
     """A poll has come.  ``poller`` names its connection; an earlier poll of the same one gets no answer any
-    more. ``epoch`` is empty where the poll has none; ``role`` is ``router``, ``relay`` or ``sibling``;
-    ``name`` is empty where nothing is to be counted across connections.  ``done``, ``behind`` and ``names``
-    are a relay's."""
+    more. ``epoch`` is empty where the poll has none; ``role`` is ``router``, ``relay``, ``sibling``,
+    ``probe`` (answered at once with nothing but the age) or ``leaving`` (a router or relay that goes
+    elsewhere in order, on the connection of its last poll: it is not waited for any more); ``name`` is empty
+    where it counts as long as its connection lives.  ``done``, ``behind`` and ``names`` are a relay's."""
 
     poller: int
     resume: int
--- a/packages/control-relay/src/control_relay/waiting.py
+++ b/packages/control-relay/src/control_relay/waiting.py
@@ -9,6 +9,7 @@
 from control_relay.routers import Router
 
 SLOT_MS = 25.0  # deadlines are rounded up to this
+EARLY_MS = 1.0  # by which a timer may fire early, as clocks are rounded
 
 
 class Waiting:
@@ -51,7 +52,7 @@
     def take_due(self, now: float) -> list[tuple[int, Router | None, int]]:
         """The same of those whose deadline has come."""
         taken = []
-        while self._slots and self._slots.peekitem(0)[0] * SLOT_MS <= now:
+        while self._slots and self._slots.peekitem(0)[0] * SLOT_MS <= now + EARLY_MS:
             for poller in self._slots.popitem(0)[1]:
                 _, router, resume = self._polls.pop(poller)
                 taken.append((poller, router, resume))
@@ -59,7 +60,7 @@
 
     def arm(self, now: float, fired: bool = False) -> float | None:
         """In how many ms a timer is to fire; None where one that runs will do."""
-        if fired and self._armed * SLOT_MS <= now:
+        if fired and self._armed * SLOT_MS <= now + EARLY_MS:
             self._armed = math.inf
         if not self._slots or self._slots.peekitem(0)[0] >= self._armed:
             return None
--- /dev/null
+++ b/packages/control-sim/src/control_sim/__init__.py
@@ -0,0 +1,10 @@
+"""Seeded simulation of discovery, relays and routers under drawn faults (``docs/design/control.md``)."""
+
+from __future__ import annotations
+
+from control_sim.checks import Checks
+from control_sim.command import outcome_of, outcomes, story
+from control_sim.plans import KINDS, plan
+from control_sim.subject import NAMES, subject
+
+__all__ = ["KINDS", "NAMES", "Checks", "outcome_of", "outcomes", "plan", "story", "subject"]
--- /dev/null
+++ b/packages/control-sim/src/control_sim/__main__.py
@@ -0,0 +1,3 @@
+from control_sim.command import main
+
+raise SystemExit(main())
