--- a/packages/control-rig/tests/test_control_behind.py
+++ b/packages/control-rig/tests/test_control_behind.py
@@ -11,6 +11,8 @@
 
 CHANGES = 1_100  # of the list: more than a relay's log keeps
 POLLERS = 100
+FIRST, BURST = 1_000, 1_500  # purges of one moment: more than 64 KB of events
+CUT_AT = 40_010  # bytes of them: within one
 
 
 def test_a_router_is_paused_for_longer_than_the_log(play: Play) -> None:
@@ -66,17 +68,20 @@
 
 @pytest.mark.parametrize("below", [True, False], ids=["of a relay", "of discovery"])
 def test_an_answer_is_cut_in_the_middle_of_an_event(below: bool, play: Play) -> None:
-    """What came whole is not told again, and what did not comes: nobody goes on from a number in between."""
+    """What came whole counts, and what did not is asked for: nobody goes on from a number in between.  The
+    answer of discovery is one that is taken in pieces."""
 
     async def scene(stage: Stage) -> None:
-        await stage.open()
+        await stage.open(hold_ms=60_000)
         links = stage.downs if below else stage.ups
         for link in links:
-            link.cut_events = 30
-        for _ in range(3):
-            await stage.news()
+            link.cut_events = CUT_AT
+        await stage.discovery.purge(*range(FIRST, FIRST + BURST))
+        await stage.news()
         await stage.known(*stage.relays)
         assert any(link.cut_events is None for link in links)
+        for relay in stage.relays:
+            assert int((await relay.status())["purges"]) == BURST + 1
         await stage.drain()
         await stage.obeyed()
 
--- a/thornjunction/runtime/relay.py
+++ b/thornjunction/runtime/relay.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import math
+import random
 import resource
 import secrets
 import signal
@@ -15,6 +16,7 @@
 
 from control_relay import (
     Answer,
+    Attached,
     Confirmed,
     Dismissed,
     ListTold,
@@ -27,16 +29,17 @@
     RelayEvent,
 )
 from control_relay import RelaySettings as MachineSettings
+from control_sources import Sources, SourceTimes
 from fleet_seam import SetTimer, Started, TimerFired, Told
 from twisted.internet import protocol
 
 from thornjunction.logs import get_logger
 from thornjunction.net.alarm import Alarm, core_ms
-from thornjunction.net.channel import Channel
 from thornjunction.net.operators import OperatorsDoor, OperatorsLink
 from thornjunction.net.relay import Pollers
+from thornjunction.net.sourced_channel import SourcedChannel
 from thornjunction.net.transport import Building, server_endpoint
-from thornjunction.net.wire.commands import Command, Commands, ListChange, line_of
+from thornjunction.net.wire.commands import Command, ListChange, line_of
 from thornjunction.net.wire.polls import Poll
 from thornjunction.runtime.config import ConfigError
 from thornjunction.runtime.control_settings import RelaySettings
@@ -45,6 +48,7 @@
 MOST_CONNECTIONS = 4096
 OWN_DESCRIPTORS = 64  # of the program, its upstream and its door
 END_MS = 500.0  # for the last answers to be read
+TIMES = SourceTimes(most_look_ms=2_000.0)  # relays are few: they notice soon that discovery is back
 AGAIN_MS = 1_000.0  # until a timer in which the machine failed is due once more
 
 log = get_logger(__name__)
@@ -64,8 +68,19 @@
         self.faults, self.ending, self.faulty = Counter[str](), False, False
         view = RelayView(self.machine, self.pollers, core_ms, self.dismiss)
         self.operators = OperatorsDoor(view.calls, deadlines, core_ms, view.named)
-        self.upstream = Upstream(reactor, settings.upstreams[0], deadlines, core_ms, self.take, lambda: None)
-        self.upstream.confirmed = self.confirmed
+        self.upstream = SourcedChannel(
+            reactor,
+            Sources(settings.upstreams, random.random, settings.siblings, TIMES),
+            settings.hold_ms,
+            deadlines,
+            core_ms,
+            self.take,
+            on_current=lambda: None,
+            name=settings.name,
+            words=self._words,
+            on_epoch=lambda: self.feed(Attached()),
+            on_confirmed=self._confirmed,
+        )
         self._ports: list[Any] = []
 
     def start(self) -> None:
@@ -111,9 +126,6 @@
         self.alarm.deadlines.add(core_ms() + in_ms, call)
 
     def _polled(self, poller: int, poll: Poll) -> None:
-        if poll.role == "probe" and poll.name:
-            # Guards what is done against waiting for ever for who is served elsewhere now.
-            self.feed(Dismissed(poll.name))
         told = poll.done or 0, poll.behind, poll.names
         self.feed(Polled(poller, poll.resume, poll.block_ms, poll.epoch, poll.role, poll.name, *told))
 
@@ -136,10 +148,18 @@
         family = command.group if key is None else -1
         self.feed(PurgeTold(command.cursor, key, family, command.when_ms))
 
-    def confirmed(self, age_ms: float) -> None:
-        """All that was told so far stood so, so long ago."""
+    def _confirmed(self, age_ms: float, number: int) -> None:
+        """All that was told so far, up to this number of the upstream, stood so, so long ago."""
         if math.isfinite(age_ms):
-            self.feed(Confirmed(age_ms))
+            self.feed(Confirmed(age_ms, number))
+
+    def _words(self, sibling: bool) -> str:
+        """What this relay's own polls say beside their number: what all below it have confirmed."""
+        if sibling:
+            return f"&as=sibling&name={self.settings.name}"
+        up = self.machine.handed_up(core_ms())
+        names = "&names=" + ",".join(up.names) if up.names else ""
+        return f"&as=relay&name={self.settings.name}&done={up.done}&behind={up.behind}{names}"
 
     def _listen(self, address: tuple[str, int], build: Callable[[], protocol.Protocol]) -> None:
         """Open a port; one that can't be had ends the program with a message."""
@@ -177,14 +197,6 @@
         return int(self.faulty)
 
 
-class Upstream(Channel):
-    confirmed: Callable[[float], None]
-
-    def answered(self, commands: Commands, steady: bool = False) -> None:
-        super().answered(commands, steady)
-        self.confirmed(commands.age_ms or 0.0)
-
-
 def _connections() -> int:
     """As many as the descriptors that this process may have allow."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
