--- a/packages/control-relay/src/control_relay/machine.py
+++ b/packages/control-relay/src/control_relay/machine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import re
 from collections.abc import Callable
 from typing import Any
 
@@ -13,7 +12,7 @@
 from control_relay.encoding import duration, whole_number
 from control_relay.marks import Flushes, Marks
 from control_relay.pages import Pages, Reply
-from control_relay.routers import Router, Routers
+from control_relay.routers import NAME, Router, Routers
 from control_relay.seam import (
     Answer,
     Attached,
@@ -36,8 +35,6 @@
 from control_relay.waiting import SLOT_MS, Waiting
 
 JOIN, DEADLINE = 1, 2  # timers
-NAME = re.compile(r"[A-Za-z0-9._-]{1,32}", re.ASCII)
-MOST_NAMES = 8
 
 
 class Relay:
@@ -148,9 +145,8 @@
         self.waiting.remove(poller)
         if not self.ready:
             return [Refuse(poller, "no-state")]
-        if event.role in ("probe", "leaving"):
-            if event.role == "leaving":
-                self._left(now, event)
+        if event.role == "probe":
+            self._elsewhere(now, event)
             return [Answer(poller, self.pages.changes(now, self.age_ms(now), self.log.told).body)]
         if len(self.waiting) >= self.settings.most_waiting:
             return [Refuse(poller, "polls-full")]
@@ -162,9 +158,9 @@
                 return [Refuse(poller, "routers-full")]
         resume = whole_number(event.resume)
         ours = self.base <= resume <= self.log.told and (not event.epoch or event.epoch == self.epoch)
-        steady = not ours or router is None or self._heard(router, event, resume)
+        steady = not ours or router is None or self.routers.heard(router, event, resume)
         if router is not None and not ours:
-            self._forget_confirmed(router)
+            self.routers.forget_confirmed(router)
         self._advance(now)
         if not (ours and self._holds_list(router, resume, steady)):
             return self._tell_whole(now, poller, router, resume if ours else 0)
@@ -180,35 +176,13 @@
             router.poller = event.poller
         return router
 
-    def _left(self, now: float, event: Polled) -> None:
-        """Guards one who has come back on another connection against its own late farewell."""
+    def _elsewhere(self, now: float, event: Polled) -> None:
+        """Guards one who has come back, and waits on another connection, against its own late probe."""
         router = self.routers.get(event.name)
-        if router is not None and router.poller == event.poller:
+        if router is not None and (router.poller == event.poller or router.poller not in self.waiting):
             self.routers.dismiss(event.name)
             self._advance(now)
 
-    def _heard(self, router: Router, event: Polled, resume: int) -> bool:
-        """Take a confirmation in this epoch; False if the number went back: this is another life."""
-        if resume < router.resume:
-            self._forget_confirmed(router)
-            router.resume = resume
-            return False
-        router.resume = resume
-        taken = resume
-        if router.role == "relay":
-            taken = min(resume, whole_number(event.done))
-            router.behind = min(max(0, whole_number(event.behind)), 1 << 20)
-            router.names = tuple(
-                n for n in event.names[:MOST_NAMES] if isinstance(n, str) and NAME.fullmatch(n)
-            )
-        self.routers.confirm(router, router.covered(taken))
-        return True
-
-    def _forget_confirmed(self, router: Router) -> None:
-        router.told.clear()
-        router.resume = 0
-        self.routers.confirm(router, 0)
-
     def _holds_list(self, router: Router | None, resume: int, steady: bool) -> bool:
         """Whether who has this number has the list to which what follows in the log applies.  Guards the list
         against one who has taken purges of a whole state, and not yet the list behind them."""
@@ -241,7 +215,7 @@
         if router is not None:
             if reply.whole:
                 router.whole_at = reply.whole
-                router.told.clear()  # Guards the list: its number comes after those of purges in a whole state
+                router.told.clear()  # Guards the list: in a whole state purges come before it
             elif router.whole_at is None:
                 router.whole_at = 0
             if reply.covers:
--- a/packages/control-relay/src/control_relay/routers.py
+++ b/packages/control-relay/src/control_relay/routers.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import math
+import re
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from sortedcontainers import SortedDict
 
+from control_relay.encoding import whole_number
+from control_relay.seam import Polled
 from control_relay.settings import RelaySettings
 
+NAME = re.compile(r"[A-Za-z0-9._-]{1,32}", re.ASCII)  # of an epoch, a router or a relay
+MOST_BEHIND = 1 << 20  # routers behind a relay
 MOST_NAMES = 8  # that are handed up or shown
 MOST_TOLD = 64  # answers of a router that it has not confirmed yet
 
@@ -107,6 +112,27 @@
         router.confirmed = number
         self._enter_level(router)
 
+    def heard(self, router: Router, poll: Polled, resume: int) -> bool:
+        """Take a confirmation in this epoch; False if the number went back: this is another life."""
+        if resume < router.resume:
+            self.forget_confirmed(router)
+            router.resume = resume
+            return False
+        router.resume, taken = resume, resume
+        if router.role == "relay":
+            taken = min(resume, whole_number(poll.done))
+            router.behind = min(max(0, whole_number(poll.behind)), MOST_BEHIND)
+            names = poll.names[:MOST_NAMES]
+            router.names = tuple(name for name in names if isinstance(name, str) and NAME.fullmatch(name))
+        self.confirm(router, router.covered(taken))
+        return True
+
+    def forget_confirmed(self, router: Router) -> None:
+        """It begins anew."""
+        router.told.clear()
+        router.resume = 0
+        self.confirm(router, 0)
+
     def dismiss(self, name: str) -> None:
         router = self._by_name.pop(name, None)
         if router is not None:
--- a/packages/control-relay/src/control_relay/seam.py
+++ b/packages/control-relay/src/control_relay/seam.py
@@ -58,10 +58,10 @@
 @dataclass(frozen=True, slots=True)
 class Polled:
     """A poll has come.  ``poller`` names its connection; an earlier poll of the same one gets no answer any
-    more. ``epoch`` is empty where the poll has none; ``role`` is ``router``, ``relay``, ``sibling``,
-    ``probe`` (answered at once with nothing but the age) or ``leaving`` (a router or relay that goes
-    elsewhere in order, on the connection of its last poll: it is not waited for any more); ``name`` is empty
-    where it counts as long as its connection lives.  ``done``, ``behind`` and ``names`` are a relay's."""
+    more. ``epoch`` is empty where the poll has none; ``role`` is ``router``, ``relay``, ``sibling`` or
+    ``probe``: this is answered at once with nothing but the age, and one with a name says that its sender is
+    served elsewhere now and is not to be waited for.  ``name`` is empty where it counts as long as its
+    connection lives.  ``done``, ``behind`` and ``names`` are a relay's."""
 
     poller: int
     resume: int
--- a/packages/control-sim/src/control_sim/__init__.py
+++ b/packages/control-sim/src/control_sim/__init__.py
@@ -5,6 +5,6 @@
 from control_sim.checks import Checks
 from control_sim.command import outcome_of, outcomes, story
 from control_sim.plans import KINDS, plan
-from control_sim.subject import NAMES, subject
+from control_sim.topology import NAMES, subject
 
 __all__ = ["KINDS", "NAMES", "Checks", "outcome_of", "outcomes", "plan", "story", "subject"]
--- a/packages/control-sim/src/control_sim/client.py
+++ b/packages/control-sim/src/control_sim/client.py
@@ -121,21 +121,24 @@
                     self._source, self._connection = source, self._next_connection()
                     done += self._ask(now)
                 case Leave(source=source):
-                    leaving = replace(self._poll(now, False), role="leaving", block_ms=1.0)
-                    done.append(Request(source[0], self._connection, leaving))
+                    done.append(Request(source[0], self._connection, self._farewell(now)))
                     done.append(Hangup(source[0], self._connection))
                     self._source, self._connection = None, 0
                 case Probe(source=source):
                     connection = self._next_connection()
                     self._probes[connection] = source
-                    position = self.follower.cursor, self.follower.epoch
-                    done.append(Request(source[0], connection, Poll(position[0], 1.0, position[1], "probe")))
+                    done.append(Request(source[0], connection, self._farewell(now)))
                 case SetTimer(in_ms=in_ms, token=token):
                     done.append(SetTimer(in_ms, token * 2 + 1))
                 case _:
                     done.append(action)
         return done
 
+    def _farewell(self, now: float) -> Poll:
+        """A probe: it says that we are served elsewhere."""
+        follower = self.follower
+        return Poll(follower.cursor, 1.0, follower.epoch, "probe", self._poll(now, False).name)
+
     def _next_connection(self) -> int:
         self._last_connection += 1
         return self._last_connection
--- a/packages/control-sim/src/control_sim/command.py
+++ b/packages/control-sim/src/control_sim/command.py
@@ -11,7 +11,7 @@
 from fleet_sim.command import Total
 
 from control_sim.plans import plan
-from control_sim.subject import subject
+from control_sim.topology import subject
 
 
 def outcome_of(seed: int) -> Outcome:
--- a/packages/control-sim/src/control_sim/lines.py
+++ b/packages/control-sim/src/control_sim/lines.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from fleet_sim import Kind, Node, State, World
 
@@ -97,11 +99,13 @@
 
 def carry_reply(world: World, node: Node, action: Reply) -> None:
     target = world.nodes[action.to]
-    doubled = _later(
-        world, node, target, lambda: world.deliver(target, Replied(action.connection, action.body, cut))
-    )
-    cut = doubled and action.body is not None
-    if cut:
+
+    def arrive() -> None:
+        world.deliver(target, Replied(action.connection, action.body, bool(cut)))
+
+    cut: list[bool] = []
+    if _later(world, node, target, arrive) and action.body is not None:
+        cut.append(True)
         world.note(Kind.LOST, "answer cut", node.name, target.name)
 
 
@@ -109,15 +113,18 @@
     _later(world, node, target, lambda: world.deliver(target, event))
 
 
-def _later(world: World, node: Node, target: Node, act: object) -> bool:
+def _later(world: World, node: Node, target: Node, act: Callable[[], None]) -> bool:
     """Do it when the bytes arrive, if they do; whether the network doubled them."""
     link = (node.name, target.name)
     if world.network.is_cut(link):
         return False
     delays = world.network.fates(link, node.fate)
-    assert callable(act)
     world.at(world.now + (delays[0] if delays else AGAIN_MS), act)
     return len(delays) > 1
 
 
-CARRY = {Request: carry_request, Hangup: carry_hangup, Reply: carry_reply}
+CARRY: dict[type, Callable[[World, Node, Any], None]] = {
+    Request: carry_request,
+    Hangup: carry_hangup,
+    Reply: carry_reply,
+}
--- a/packages/control-sim/src/control_sim/nodes.py
+++ b/packages/control-sim/src/control_sim/nodes.py
@@ -15,7 +15,6 @@
     PurgeTold,
     Refuse,
     Relay,
-    RelaySettings,
 )
 from control_relay import Polled as RelayPolled
 from control_sources import Event, ListEvent
--- a/packages/control-sim/src/control_sim/plans.py
+++ b/packages/control-sim/src/control_sim/plans.py
@@ -9,7 +9,7 @@
 from fleet_sim import Fault, Kind, Plan, Quality, World
 from fleet_sim.faults import Cut, Flap, Kill, Lag, Noise, Partition, Pause
 
-from control_sim.subject import NAMES, SIBLINGS, UPSTREAMS
+from control_sim.topology import NAMES, SIBLINGS, UPSTREAMS
 
 LINKS = tuple((a, b) for table in (UPSTREAMS, SIBLINGS) for a, others in table.items() for b in others)
 RELAYS = ("r1", "r2", "c1")
