--- a/packages/control-relay/src/control_relay/routers.py
+++ b/packages/control-relay/src/control_relay/routers.py
@@ -118,6 +118,8 @@
             self.forget_confirmed(router)
             router.resume = resume
             return False
+        while router.told and router.told[-1][0] > resume:
+            router.told.pop()  # Guards what superseded an event of an answer that never came
         router.resume, taken = resume, resume
         if router.role == "relay":
             taken = min(resume, whole_number(poll.done))
--- a/packages/control-sim/src/control_sim/checks.py
+++ b/packages/control-sim/src/control_sim/checks.py
@@ -68,6 +68,7 @@
         ] = {}  # by router or relay and epoch: the number with all before
         self._versions: dict[tuple[str, int], int] = {}
         self._done: dict[tuple[str, int], int] = {}
+        self._seen: dict[str, dict[int, tuple[Any, float, float]]] = {}  # purges of a relay, by number
         self._heads: dict[str, tuple[int, int, Lines]] = {}
 
     def check(self, world: World, node: Node) -> str | None:
@@ -104,6 +105,9 @@
         if not relay.ready:
             return None
         purges = {purge.what: purge.when_ms for purge in relay.state.purges.by_end()}
+        seen = self._seen.setdefault(relay.epoch, {})
+        for purge in relay.state.purges.by_end():
+            seen.setdefault(purge.number, (purge.what, purge.when_ms, purge.until))
         return (
             self._named("mixed", self._known(lines))
             or self._named("backwards", self._forward(world, node, lines))
@@ -194,7 +198,7 @@
             taken = self.taken.get((router.name, relay.epoch), 0)
             if events and taken < events[-1]:
                 return f"{done} is done, but {router.name} has taken {taken} of {events[-1]}"
-            why = self._purges_held(world, router.name, relay, before, done)
+            why = self._purges_held(world, node, router.name, before, done)
             why = why or self._list_held(world, node, router.name, relay, done)
             if why:
                 return why
@@ -211,19 +215,23 @@
             return f"list {number} is done, but {name} holds version {held} and not {version}"
         return None
 
-    def _purges_held(self, world: World, name: str, relay: Relay, before: int, done: int) -> str | None:
-        """Of those that began their life before a purge was issued."""
-        node = world.nodes[name]
-        for purge in relay.state.purges.by_end():
-            if not before < purge.number <= done or self._issued(purge.what, purge.when_ms) < node.since:
+    def _purges_held(self, world: World, at: Node, name: str, before: int, done: int) -> str | None:
+        """By those that polled here in their present life, or have been there since before it was issued."""
+        node, above = world.nodes[name], at.machine
+        assert isinstance(above, RelayNode)
+        machine, heard = node.machine, above.lives.get(name) == node.incarnation
+        for number, (what, when, until) in self._seen[above.relay.epoch].items():
+            if not before < number <= done or until <= at.local(world.now):
+                continue
+            if not heard and self._issued(what, when) < node.since:
                 continue
-            machine = node.machine
-            if isinstance(machine, Router) and machine.held.purges.get(purge.what, -math.inf) < purge.when_ms:
-                return f"purge {purge.number} is done, but {name} lacks it"
+            if isinstance(machine, Router) and machine.held.purges.get(what, -math.inf) < when:
+                return f"purge {number} is done, but {name} lacks it"
             if isinstance(machine, RelayNode):
-                below = machine.relay.state.purges.get(purge.what)
-                if below is not None and below.number > machine.relay.marks.done:
-                    return f"purge {purge.number} is done, but not at {name}"
+                below = self._seen.get(machine.relay.epoch, {}).items()
+                same = [n for n, (other, then, _) in below if other == what and then >= when]
+                if same and min(same) > machine.relay.marks.done:
+                    return f"purge {number} is done, but not at {name}"
         return None
 
     def _issued(self, what: Any, when: float) -> float:
--- a/packages/control-sim/src/control_sim/nodes.py
+++ b/packages/control-sim/src/control_sim/nodes.py
@@ -24,6 +24,16 @@
 from control_sim.lines import Asked, Broken, HungUp, Poll, Replied, Reply, Request
 
 Lines = dict[str, Any]
+LIFE_BITS = 20
+
+
+def first_connection(place: int, incarnation: int) -> int:
+    """Numbers of connections tell whose they are, and of which life."""
+    return (place << LIFE_BITS | incarnation) << LIFE_BITS
+
+
+def life_of(connection: int) -> int:
+    return connection >> LIFE_BITS & (1 << LIFE_BITS) - 1
 
 
 class Held:
@@ -121,6 +131,7 @@
         first_connection: int,
     ) -> None:
         self.name, self.relay = name, relay
+        self.lives: dict[str, int] = {}  # of those that polled, which one it was
         self._upstream_epoch = ""
         self._sources: dict[int, str] = {}
         hold_ms = relay.settings.hold_ms
@@ -143,6 +154,8 @@
                 return self._core(now, TimerFired(token // 2))
             case Asked(source=source, connection=connection, poll=poll):
                 self._sources[connection] = source
+                if poll.role != "probe":
+                    self.lives[source] = life_of(connection)
                 names = poll.role, poll.name, poll.done, poll.behind, poll.names
                 return self._core(
                     now, RelayPolled(connection, poll.resume, poll.block_ms, poll.epoch, *names)
--- a/packages/control-sim/src/control_sim/topology.py
+++ b/packages/control-sim/src/control_sim/topology.py
@@ -13,7 +13,7 @@
 from control_sim.checks import Checks, settled
 from control_sim.discovery import Discovery
 from control_sim.lines import CARRY
-from control_sim.nodes import PlainRouter, RelayNode, Router
+from control_sim.nodes import PlainRouter, RelayNode, Router, first_connection
 
 HOLD_MS = 4_000.0
 SETTLE_MS = 25_000.0
@@ -43,15 +43,15 @@
 
 
 def build(name: str, address: Address, incarnation: int, draw: Draw, disk: Disk) -> Any:
-    first_connection = (NAMES.index(name) + 1) << 40 | incarnation << 20
+    connection = first_connection(NAMES.index(name) + 1, incarnation)
     if name == "d":
         return Discovery(incarnation, draw, disk)
     if name == "x3":
-        return PlainRouter(UPSTREAMS[name][0], first_connection)
+        return PlainRouter(UPSTREAMS[name][0], connection)
     if name.startswith("x"):
-        return Router(name, UPSTREAMS[name], draw, first_connection, HOLD_MS)
+        return Router(name, UPSTREAMS[name], draw, connection, HOLD_MS)
     relay = Relay(settings(name), f"{name}-{incarnation}", (BASE + 10 * incarnation) << 20)
-    return RelayNode(name, relay, UPSTREAMS[name], SIBLINGS.get(name, ()), draw, first_connection)
+    return RelayNode(name, relay, UPSTREAMS[name], SIBLINGS.get(name, ()), draw, connection)
 
 
 def tally(world: World, counts: Counter[str]) -> None:
--- a/packages/control-sim/tests/flaws.py
+++ b/packages/control-sim/tests/flaws.py
@@ -18,10 +18,9 @@
 from control_relay.log import Log
 from control_relay.marks import Marks
 from control_relay.pages import Page, Pages
+from control_relay.purges import Purges
 from control_relay.routers import Router, Routers
 from control_sim import outcome_of, topology
-from control_sim.nodes import Held
-from control_sources import Event, ListEvent
 
 Flaw = Callable[[], Any]  # a context in which the code is broken
 
@@ -86,16 +85,6 @@
     return max(0.0, now - self.as_of)
 
 
-def _earlier_wins(self: Held, event: Event) -> None:
-    if isinstance(event, ListEvent):
-        _take(self, event)
-    else:
-        self.purges[event.what] = event.when_ms
-
-
-_take = Held.take
-
-
 _settings = topology.settings
 
 
@@ -126,7 +115,7 @@
     "the age leaves out what waits to be joined": _patch(Relay, "age_ms", _age_of_all),
     "superseded events go at once": _patch(Log, "retire", Log.drop),
     "a restarted router's confirmations stay": _patch(Routers, "forget_confirmed", lambda self, router: None),
-    "an earlier purge replaces a later one": _patch(Held, "take", _earlier_wins),
+    "an earlier purge replaces a later one": _patch(Purges, "get", lambda self, what: None),
     "done goes by the furthest router": _patch(
         Marks, "advance", lambda self, now, lowest, told, f=Marks.advance: f(self, now, told, told)
     ),
