--- a/packages/control-rig/src/control_rig/rig.py
+++ b/packages/control-rig/src/control_rig/rig.py
@@ -96,6 +96,12 @@
         told |= {"settings": SETTINGS, "limits": {"sockets": 90}, "known": {"cursor": 0, "cmds": []}}
         (folder / "config.json").write_text(json.dumps(told))
 
+    def settle_plain(self, channel: str) -> None:
+        """Nothing of the operators': it polls what the platform's file names."""
+        told = json.loads((self.folder / "config.json").read_text())
+        (self.folder / "config.json").write_text(json.dumps(told | {"channel": channel}))
+        (self.folder / "extras.toml").write_text("")
+
     def settle(self, sources: Sequence[str]) -> None:
         """Write its operators' file."""
         _write_toml(self.folder, "control", {"name": self.name, "sources": list(sources)})
--- a/packages/control-rig/src/control_rig/stage.py
+++ b/packages/control-rig/src/control_rig/stage.py
@@ -17,7 +17,7 @@
 
 
 class Stage(Rig):
-    """Relay N hears discovery through ``ups[N]``, and the routers reach it through ``downs[N]``.
+    """Relay N hears discovery, or the root, through ``ups[N]``, and routers reach it through ``downs[N]``.
 
     ``shelfs`` is how many are listed, as routers show at their doors; ``purged`` the last object purged."""
 
@@ -29,20 +29,27 @@
         self.shelfs = self.purged = 0
         self.extra = 0  # pollers beside the routers
 
-    async def open(self, routers: int = 2, relays: int = 2, **more: object) -> None:
-        """Start all, and wait until the routers know the list."""
+    async def open(self, root: bool = False, **more: object) -> None:
+        """Start all, and wait until the routers know the list.  ``root``: one relay more, above the others.
+        ``more`` goes into the relays' settings."""
         self.edges = [await self.shelf(f"edge{number}") for number in (1, 2)]
         self.origin = await self.shelf("origin", "root")
         await self.discovery.tell_list([one.line() for one in (*self.edges, self.origin)], whole=True)
         self.shelfs = 3
-        self.relays = [self.relay(f"relay-{number}") for number in range(relays)]
-        self.ups = [await self.link(self.discovery.address) for _ in self.relays]
+        above = self.discovery.address
+        if root:
+            self.root = self.relay("root")
+            self.root.settle([above])
+            self.root.start()
+            above = self.root.listen
+        self.relays = [self.relay(f"relay-{number}") for number in range(2)]
+        self.ups = [await self.link(above) for _ in self.relays]
         self.downs = [await self.link(relay.listen) for relay in self.relays]
         for place, relay in enumerate(self.relays):
             siblings = [other.listen for other in self.relays if other is not relay]
             relay.settle([self.ups[place].address], siblings=siblings, **more)
             relay.start()
-        self.routers = [self.router(f"router-{number}") for number in range(routers)]
+        self.routers = [self.router(f"router-{number}") for number in range(2)]
         for router in self.routers:
             router.settle([link.address for link in self.downs])
             router.start()
@@ -81,15 +88,18 @@
         async def holds() -> bool:
             present = 0
             for relay in relays:
-                if not any(
-                    f" {self.purged:016x} " in line and " done " in line for line in await relay.purges()
-                ):
+                if " done " not in await self.standing(relay):
                     return False
                 present += int((await relay.status())["present"])
             return present == len(self.routers) + self.extra
 
         await self.until(holds, f"purge {self.purged} is done at {[relay.name for relay in relays]}")
 
+    async def standing(self, relay: Relay) -> str:
+        """How the last purge stands at this relay, as its door words it; empty: it is not known there."""
+        told = f" {self.purged:016x} "
+        return next((line for line in await relay.purges() if told in line), "")
+
     async def moved(self, relay: Relay) -> None:
         """All routers poll this relay."""
 
--- a/packages/control-rig/tests/test_control_behind.py
+++ b/packages/control-rig/tests/test_control_behind.py
@@ -24,6 +24,7 @@
         paused.signal(signal.SIGSTOP)
         stage.routers = [other]
         await stage.drain()
+        await stage.news()  # what the log has lost, later
         line = stage.origin.line("leaving") | {"host": "more", "class": "box"}
         for share in range(CHANGES):
             await stage.discovery.tell_list([line | {"share": share}])
