--- a/packages/control-relay/src/control_relay/encoding.py
+++ b/packages/control-relay/src/control_relay/encoding.py
@@ -32,6 +32,13 @@
     return float(min(value, most))
 
 
+def age_of(value: Any) -> float | None:
+    """Milliseconds, at least 0; None for what is none."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not abs(value) <= LARGEST:
+        return None
+    return max(0.0, float(value))
+
+
 def line(host: Any) -> tuple[str, bytes, bool] | None:
     """A shelf's name, its line, and whether it has left; None for what names no shelf."""
     if not isinstance(host, Mapping) or not isinstance(name := host.get("host"), str):
--- a/packages/control-relay/src/control_relay/machine.py
+++ b/packages/control-relay/src/control_relay/machine.py
@@ -9,7 +9,7 @@
 from fleet_seam import SetTimer, Started, TimerFired, Told
 
 from control_relay import views
-from control_relay.encoding import duration, whole_number
+from control_relay.encoding import age_of, duration, whole_number
 from control_relay.marks import Flushes, Marks
 from control_relay.pages import Pages, Reply
 from control_relay.routers import NAME, Router, Routers
@@ -126,8 +126,9 @@
         return actions
 
     def _confirmed(self, now: float, event: Confirmed) -> list[RelayAction]:
-        if math.isfinite(event.age_ms):
-            self.as_of = max(self.as_of, now - max(0.0, event.age_ms))
+        age_ms = age_of(event.age_ms)
+        if age_ms is not None:
+            self.as_of = max(self.as_of, now - age_ms)
         if not self.log.pending:  # else what goes out now lacks what waits, and is older
             self._told_as_of = self.as_of
         if event.number:
--- a/packages/control-relay/src/control_relay/routers.py
+++ b/packages/control-relay/src/control_relay/routers.py
@@ -88,8 +88,8 @@
     def __iter__(self) -> Iterator[Router]:
         return iter(self._by_name.values())
 
-    def get(self, name: str) -> Router | None:
-        return self._by_name.get(name)
+    def get(self, name: object) -> Router | None:
+        return self._by_name.get(name) if isinstance(name, str) else None
 
     def polled(self, now: float, name: str, role: str, block_ms: float) -> Router | None:
         """Who polls; None when there is no place for one more."""
@@ -135,10 +135,11 @@
         router.resume = 0
         self.confirm(router, 0)
 
-    def dismiss(self, name: str) -> None:
-        router = self._by_name.pop(name, None)
+    def dismiss(self, name: object) -> None:
+        router = self.get(name)
         if router is not None:
-            self._silence.pop(name, None)
+            del self._by_name[router.name]
+            self._silence.pop(router.name, None)
             self._leave_level(router)
 
     def cut_off(self, router: Router, now: float) -> bool:
--- a/packages/control-relay/src/control_relay/state.py
+++ b/packages/control-relay/src/control_relay/state.py
@@ -7,7 +7,7 @@
 
 from fleet_seam import Told
 
-from control_relay.encoding import list_event, purge_event, whole_number
+from control_relay.encoding import age_of, list_event, purge_event, whole_number
 from control_relay.log import Log
 from control_relay.marks import Record
 from control_relay.purges import GROUPS, Purge, Purges, What, time_of, what_of
@@ -47,8 +47,7 @@
         old = self.purges.get(what)
         if old is not None and when_ms <= old.when_ms < math.inf:
             return [], None
-        age_ms = max(0.0, event.age_ms) if math.isfinite(event.age_ms) else 0.0
-        until = now + self.settings.hold_ms - age_ms
+        until = now + self.settings.hold_ms - (age_of(event.age_ms) or 0.0)
         if until <= now:
             return [], None
         if old is not None:
