--- a/packages/control-rig/tests/test_control_done.py
+++ b/packages/control-rig/tests/test_control_done.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 
 from control_rig.stage import Play, Stage
@@ -81,7 +82,18 @@
     async def scene(stage: Stage) -> None:
         await stage.open()
         first, second = stage.relays
+        head = (await first.status())["head"]
+        host, _, port = first.listen.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(f"GET /cmd/next?resume={head}&block=5000 HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+        async def waits() -> bool:
+            return (await first.status())["waiting"] == "3"
+
+        await stage.until(waits, "three polls wait")
         first.signal(signal.SIGTERM)
+        told = (await reader.read(-1)).decode()
+        assert told.startswith("HTTP/1.1 200 ") and "Connection: close" in told and head in told, told
         await stage.ended(first)
         assert first.code == 0 and '"relay-ended"' in first.log()
         assert '"unread": 0' in first.log(), first.log()
--- a/thornjunction/runtime/relay.py
+++ b/thornjunction/runtime/relay.py
@@ -131,8 +131,6 @@
 
     def _gone(self, poller: int) -> None:
         self.feed(PollerGone(poller))
-        # A connection without a name can't come back: who asks again counts as another.
-        self.feed(Dismissed(f"#{poller}"))
 
     def dismiss(self, name: str) -> None:
         """A router or relay was taken out of service: nobody waits for it any more."""
