--- a/packages/control-rig/src/control_rig/stage.py
+++ b/packages/control-rig/src/control_rig/stage.py
@@ -30,8 +30,8 @@
         self.extra = 0  # pollers beside the routers
 
     async def open(self, root: bool = False, **more: object) -> None:
-        """Start all, and wait until the routers know the list.  ``root``: one relay more, above the others.
-        ``more`` goes into the relays' settings."""
+        """Start all, and wait until the routers know the list by the first relay.  ``root``: one relay more,
+        above the others.  ``more`` goes into the relays' settings."""
         self.edges = [await self.shelf(f"edge{number}") for number in (1, 2)]
         self.origin = await self.shelf("origin", "root")
         await self.discovery.tell_list([one.line() for one in (*self.edges, self.origin)], whole=True)
@@ -50,11 +50,12 @@
             relay.settle([self.ups[place].address], siblings=siblings, **more)
             relay.start()
         self.routers = [self.router(f"router-{number}") for number in range(2)]
+        await self.ready(*self.relays)
         for router in self.routers:
             router.settle([link.address for link in self.downs])
             router.start()
-        await self.ready(*self.relays)
         await self.listed(self.routers)
+        await self.moved(self.relays[0])
 
     async def ready(self, *relays: Relay) -> None:
         """They have a state."""
