Stand-ins of shelfs, discovery and clients are one package, packages/standins

The demo, tests, rig and benchmarks shared them from inside thornjunction/demo, so that packages and tests imported the demo.

--- a/packages/fleet-rig/src/fleet_rig/files.py
+++ b/packages/fleet-rig/src/fleet_rig/files.py
@@ -10,9 +10,10 @@
 from socket import socket
 from typing import Any
 
+from standins.config import SETTINGS, listen
+from standins.plain import DemoDiscovery, DemoShelf
+
 from fleet_rig.relay import Address
-from thornjunction.demo.standins import DemoDiscovery, DemoShelf
-from thornjunction.demo.start import SETTINGS, listen
 
 
 def start_standins(reactor: Any) -> int:
--- a/packages/fleet-sim/src/fleet_sim/membership.py
+++ b/packages/fleet-sim/src/fleet_sim/membership.py
@@ -5,13 +5,14 @@
 from collections.abc import Mapping
 from typing import Any
 
-from fleet_membership import Membership, MembershipSettings
-from fleet_modes import CHANNEL, ShareKeeper, ShareSettings
-from fleet_seam import Action, Address, Draw, Event, Leaving, SetTimer, Started, TimerFired
+from fleet_membership import MembershipSettings
+from fleet_modes import ShareSettings
+from fleet_seam import Address, Draw
 from fleet_wire import Envelope, MemberState, Part, ProbeFor, Superseded
 from msgspec import DecodeError, msgpack
 
-from .membership_checks import GONE, FalseVerdicts, Ordered, SharesFit, Sides, settled
+from .member import Router
+from .membership_checks import FalseVerdicts, Ordered, SharesFit, Sides, settled
 from .network import Quality
 from .node import Disk
 from .run import Subject
@@ -20,52 +21,11 @@
 
 VOTERS = 5  # at most, in a drawn fleet
 SETTLE_MS = 60_000.0
-SHARES_TOKEN = -1  # the members' own tokens are not negative
 HEAD, TAG = 9, 16  # bytes around a datagram's body
 
 _decoder = msgpack.Decoder(Envelope)
 
 
-class Router:
-    """What a router runs of the fleet: a member, and its shares of the budgets on the same datagrams."""
-
-    def __init__(self, settings: MembershipSettings, shares: ShareSettings, draw: Draw) -> None:
-        self.name = settings.name
-        self.member = Membership(settings, draw, self._heard)
-        self.keeper: ShareKeeper | None = None
-        self._shares = shares
-        self._life = settings.incarnation
-
-    def handle(self, now: float, event: Event) -> list[Action]:
-        if event == TimerFired(SHARES_TOKEN):
-            return self._ask(now)
-        if isinstance(event, Started):
-            self.keeper = ShareKeeper(self._shares, self.name, self._life, now)
-            return [*self.member.handle(now, event), SetTimer(self.keeper.every_ms, SHARES_TOKEN)]
-        if isinstance(event, Leaving):
-            self.keeper = None
-        return self.member.handle(now, event)
-
-    def share(self, now: float) -> float:
-        return self.keeper.share(now) if self.keeper else 0.0
-
-    def _ask(self, now: float) -> list[Action]:
-        if self.keeper is None:
-            return []
-        actions: list[Action] = []
-        for voter, body in self.keeper.asks(now, self._live(now)):
-            actions += self.member.carry(voter, CHANNEL, body)
-        return [*actions, SetTimer(self.keeper.every_ms, SHARES_TOKEN)]
-
-    def _heard(self, now: float, sender: str, channel: int, body: bytes) -> bytes | None:
-        if self.keeper is None or channel != CHANNEL:
-            return None
-        return self.keeper.heard(now, sender, body, self._live(now))
-
-    def _live(self, now: float) -> list[str]:
-        return [name for name, m in self.member.view(now).members.items() if m.state not in GONE]
-
-
 def subject(
     names: tuple[str, ...],
     *,
--- a/packages/fleet-sim/src/fleet_sim/membership_checks.py
+++ b/packages/fleet-sim/src/fleet_sim/membership_checks.py
@@ -3,20 +3,17 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 from fleet_membership import View
 from fleet_seam import Told
 from fleet_wire import MemberState
 
+from .member import GONE, Router
 from .node import Node
 from .reach import Reach, steady_ms
 from .world import World
 
-if TYPE_CHECKING:
-    from .membership import Router
-
-GONE = (MemberState.FAILED, MemberState.LEFT)
 STEADY_MS = 5_000.0  # both run and reach each other for so long: a verdict of failure is false
 CALM_MS = 15_000.0  # and all that run reach the member for so long: it is a violation as well
 SIDE_MS = 12_000.0  # by then a side without most voters must know it
@@ -29,7 +26,7 @@
 
 
 def router_of(node: Node) -> Router:
-    return cast("Router", node.machine)
+    return cast(Router, node.machine)
 
 
 class Ordered:
--- a/thornjunction/demo/rig.py
+++ b/packages/standins/src/standins/rig.py
@@ -12,11 +12,11 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.task import deferLater
 
+from standins.clients import HttpClient as Client
+from standins.deaf_door import DeafDoor
 from thornjunction import interface as api
 from thornjunction.core.counters import Counters
 from thornjunction.core.engine import Engine
-from thornjunction.demo.clients import HttpClient as Client
-from thornjunction.demo.deaf_door import DeafDoor
 from thornjunction.memory.budget import Budget
 from thornjunction.net.alarm import Alarm, core_ms
 from thornjunction.net.client_link import ClientTable
--- a/thornjunction/demo/watch.py
+++ b/packages/standins/src/standins/watch.py
@@ -14,8 +14,8 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.python.failure import Failure
 
+from standins.rig import until
 from thornjunction import interface as api
-from thornjunction.demo.rig import until
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.channel import MOST_AGAIN_MS, Channel
 from thornjunction.net.transport import Building, Transport
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,14 +1,14 @@
-"""The test suite's settings round the loopback rig (``thornjunction/demo/rig.py``): keys, paths, classes."""
+"""The test suite's settings round the loopback rig (``packages/standins``): keys, paths, classes."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 
 from joserfc.jwk import OctKey
+from standins import rig
+from standins.clients import HttpClient as Client
 
 from tests.helpers import FILMS, KEYED, SETTINGS
-from thornjunction.demo import rig
-from thornjunction.demo.clients import HttpClient as Client
 from thornjunction.signing import tokens
 
 BASE, CLIP, ALERT = "https://cams.example", "/films/17/7f3a9c21e0b4d655/0", "/keyed/3/00000000000000aa/0"
--- a/tests/test_client_endings.py
+++ b/tests/test_client_endings.py
@@ -6,10 +6,10 @@
 from typing import Any
 from unittest.mock import patch
 
+from standins.bare import ENDS, BareClient, BareClients, aborted, asked
 from twisted.trial.unittest import TestCase
 
 from tests.standins import CLIP, Rig
-from thornjunction.demo.bare import ENDS, BareClient, BareClients, aborted, asked
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.client_link import IDLE_MS, SILENT_MS, ClientTable
 from thornjunction.runtime.drain import Drain
@@ -131,7 +131,7 @@
             return take(call, reply)
 
         self.rig.script = [None] * 20
-        late = patch("thornjunction.demo.rig.core_ms", lambda: core_ms() + slow[0])
+        late = patch("standins.rig.core_ms", lambda: core_ms() + slow[0])
         with late, patch.object(self.engine, "open", decide):
             client.send(b"".join(asked(number + 1) for number in range(20)))
             await self.until(lambda: opened and not self.rig.clients.connected)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -8,12 +8,12 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from standins.rig import until
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
 from tests.standins import BASE, TRUST
-from thornjunction.demo.rig import until
 from thornjunction.net.alarm import Alarm, core_ms
 from thornjunction.net.gossip import Gossip
 from thornjunction.net.wire import ProtocolError, gossip
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,10 +10,11 @@
 import sys
 from pathlib import Path
 
+from standins.bare import address, call, connect
+
 from tests.test_core import CONFIG
 from tests.test_program import ROOT
 from tests.test_wire import asked
-from thornjunction.demo.bare import address, call, connect
 from thornjunction.net.wire import fastcgi
 from thornjunction.runtime.handover import Handover
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,6 +12,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from standins.bare import address, call, connect
 from twisted.internet import protocol, reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.trial.unittest import TestCase
@@ -22,7 +23,6 @@
 from thornjunction import interface as api
 from thornjunction.core.counters import Counters
 from thornjunction.core.ports import Call, Order
-from thornjunction.demo.bare import address, call, connect
 from thornjunction.net import shelf_link, shelves
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.metrics import Metrics
--- a/tests/test_shelf_endings.py
+++ b/tests/test_shelf_endings.py
@@ -6,6 +6,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from standins.clients import FastCgiClient
 from twisted.internet import reactor, tcp
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.error import ConnectionDone
@@ -15,7 +16,6 @@
 from tests.test_wire import PARAMS, asked
 from thornjunction import interface as api
 from thornjunction.core.ports import Call, Order
-from thornjunction.demo.clients import FastCgiClient
 from thornjunction.net import shelf_link, shelves
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.wire import fastcgi
--- a/tests/test_sigterm.py
+++ b/tests/test_sigterm.py
@@ -14,6 +14,8 @@
 from typing import Any
 
 import pytest
+from standins.bare import BareClient, BareShelf, address, asked, call
+from standins.config import config_at
 from twisted.internet.testing import MemoryReactorClock
 
 from tests.test_clients import Hall
@@ -21,8 +23,6 @@
 from tests.test_handover import Program
 from tests.test_program import ROOT
 from thornjunction.core.counters import Counters
-from thornjunction.demo.bare import BareClient, BareShelf, address, asked, call
-from thornjunction.demo.start import config_at
 from thornjunction.runtime.config import parse_config
 from thornjunction.runtime.drain import Drain
 from thornjunction.runtime.service import Service
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -9,14 +9,14 @@
 from unittest.mock import Mock, patch
 
 import pytest
+from standins import watch
+from standins.rig import reactor, until
+from standins.watch import GOOD, ScriptedDiscovery, WatchRig, answer, fetched_from, hold, line, say
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
 from tests.test_core import CONFIG
 from thornjunction.core.counters import Counters
-from thornjunction.demo import watch
-from thornjunction.demo.rig import reactor, until
-from thornjunction.demo.watch import GOOD, ScriptedDiscovery, WatchRig, answer, fetched_from, hold, line, say
 from thornjunction.net import channel as channels
 from thornjunction.net.wire.commands import ListChange, decode_commands
 from thornjunction.runtime.config import parse_config
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,10 +9,10 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from standins.clients import fastcgi_request
 
 from thornjunction import interface as api
 from thornjunction.core.ports import Call, Content, Failed, Order, Refused, Served
-from thornjunction.demo.clients import fastcgi_request
 from thornjunction.net.wire import (
     ProtocolError,
     collectd,
