--- a/packages/fleet-scale/src/fleet_scale/__main__.py
+++ b/packages/fleet-scale/src/fleet_scale/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m fleet_scale WHAT``: one run, its tables written to a file; exits with 1 where a verdict fails."""
+"""``python -m fleet_scale WHAT``: a run, its tables written to a file; exit code 1 where a verdict fails."""
 
 from __future__ import annotations
 
--- a/packages/fleet-scale/src/fleet_scale/hollows.py
+++ b/packages/fleet-scale/src/fleet_scale/hollows.py
@@ -19,8 +19,8 @@
 
 
 class Hollows:
-    """``told``: ``sites`` (all names); ``routers``, each its ``name``, ``site``, ``channel``, and ``fleet`` of a
-    member; ``folder`` for what a member keeps."""
+    """``told``: ``sites`` (all names); ``routers``: each its ``name``, ``site``, ``channel``, and ``fleet``
+    where it is a member; ``folder`` for what a member keeps."""
 
     def __init__(self, reactor: Any, told: Mapping[str, Any]) -> None:
         self.told, self.counts, self.tally = told, Counter[str](), Tally()
