--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv-ci
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build dev lint test seeds tidy check run sim
+.PHONY: build dev lint test seeds tidy check run sim scale scale-small
 
 build:
 	$(BUILD)
@@ -34,3 +34,9 @@
 
 sim: build
 	exec .venv/bin/python -m thornjunction.adapter
+
+scale: dev  # the whole: up to 1,200 hollow routers, some 40 minutes and 6 GB
+	$(VENV)/bin/python -m fleet_scale all --out docs/capacity/scale.md
+
+scale-small: dev  # the form for CI: verdicts on counts and orders, under 90 s
+	$(VENV)/bin/python -m fleet_scale small --out found/scale-small.md
--- a/packages/fleet-scale/src/fleet_scale/__main__.py
+++ b/packages/fleet-scale/src/fleet_scale/__main__.py
@@ -21,8 +21,6 @@
 
 def main(argv: list[str] | None = None) -> int:
     told = _parser().parse_args(argv)
-    # Guards the processes of a run that is told to end: the stage's own end ends them.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     try:
         file = told.topology or HERE / ("small.toml" if told.what == "small" else "full.toml")
         topology = read_topology(file).sized(told.routers, told.shelfs, told.relays)
@@ -74,4 +72,6 @@
 
 
 if __name__ == "__main__":
+    # Guards the processes of a run that is told to end: the stage's own end ends them.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     sys.exit(main())
--- a/packages/fleet-scale/src/fleet_scale/compare.py
+++ b/packages/fleet-scale/src/fleet_scale/compare.py
@@ -8,7 +8,8 @@
 from fleet_scale.child import RunError
 from fleet_scale.measure import Cost, Spread, cost, sample, spread
 from fleet_scale.report import Report, Table
-from fleet_scale.stage import Options, Stage
+from fleet_scale.setup import Options
+from fleet_scale.stage import Stage
 from fleet_scale.topology import Topology
 
 RATE, QUIET_S = 34.0, 3.0  # purges a second at the peak; of the idle window
--- a/packages/fleet-scale/src/fleet_scale/faults.py
+++ b/packages/fleet-scale/src/fleet_scale/faults.py
@@ -13,7 +13,8 @@
 from fleet_scale.measure import Sample, sample
 from fleet_scale.plan import Purges
 from fleet_scale.report import Report, Table
-from fleet_scale.stage import Options, Stage
+from fleet_scale.setup import Options
+from fleet_scale.stage import Stage
 from fleet_scale.topology import Topology
 
 IN_STEP_S, GONE_S = 60.0, 2.0  # until what came back is in step; how long it is gone
@@ -34,6 +35,7 @@
     begin: Callable[[Stage, Sequence[str]], None]
     end: Callable[[Stage, Sequence[str]], None]
     behind: int = 0  # purges that are told at once while it lasts
+    sudden: bool = False  # it has no end of its own: what it costs is counted from its beginning
 
 
 def end_routers(stage: Stage, names: Sequence[str]) -> None:
@@ -47,14 +49,21 @@
 
 
 def routes_of(stage: Stage, names: Sequence[str]) -> list[str]:
-    """The routes by which the sites of these routers poll."""
+    """The routes that leave the regions of these routers: their sites' to sources elsewhere, and those of the
+    relays there.  Where one source is discovery itself, all count as elsewhere."""
     wanted = set(names)
-    sites = {site.name for site in stage.sites if wanted & set(site.routers)}
-    return [f"{site}>{source}" for site, source in stage.ways if site in sites]
+    near = {site.name: site.region for site in stage.sites if wanted & set(site.routers)}
+    relays = {source.name: source.region for source in stage.sources if stage.relays}
+    inside = {name for name, region in relays.items() if region in near.values()}
+    return [
+        f"{place}>{source}"
+        for place, source in stage.ways
+        if (place in near and source not in inside) or place in inside
+    ]
 
 
 def cut(stage: Stage, names: Sequence[str], ways: Sequence[str] = ("forth", "back")) -> None:
-    """Hold back all that passes between these and what they poll."""
+    """Hold back all that passes between the regions of these and elsewhere."""
     stage.hold(routes_of(stage, names), ways)
 
 
@@ -67,10 +76,6 @@
     ask_all(stage.hollows, "sever", names=list(names))
 
 
-def nothing(stage: Stage, names: Sequence[str]) -> None:
-    """Has no end of its own."""
-
-
 def restart_all(stage: Stage, names: Sequence[str]) -> None:
     """One after the other, as fast as they start."""
     for name in names:
@@ -90,8 +95,8 @@
         Fault("a rack is gone and back", rack, end_routers, start_routers),
         Fault("a zone is gone and back", zone, end_routers, start_routers),
         Fault("a region is gone and back", region, end_routers, start_routers),
-        Fault("a zone reconnects at once", zone, sever, nothing),
-        Fault(f"{restarts} restarts", restarted, restart_all, nothing),
+        Fault("a zone reconnects at once", zone, sever, sever, sudden=True),
+        Fault(f"{restarts} restarts", restarted, restart_all, restart_all, sudden=True),
         Fault("a region is cut, one way (answers)", region, lambda s, n: cut(s, n, ("back",)), heal),
         Fault(f"a region is cut, {behind} purges behind", region, cut, heal, behind),
     ]
@@ -112,15 +117,16 @@
             report.verdict(f"{mode}: played to the end ({error})", False)
 
 
-def play(report: Report, table: Table, stage: Stage, fault: Fault, mode: str) -> None:
+def play(report: Report, table: Table, stage: Stage, fault: Fault, mode: str, gone_s: float = GONE_S) -> None:
     """One fault under the steady flow of purges."""
     if stage.wait(stage.in_step, IN_STEP_S) is None:
         raise RunError(f"not in step before: {fault.name}")
     before_repeats = stage.state()["repeated"]
-    flow = stage.purges(RATE, int(RATE * 2 * GONE_S))
+    flow = stage.purges(RATE, int(RATE * 2 * gone_s))
     stage.pause(max(flow.at - time.monotonic(), 0.0))
-    fault.begin(stage, fault.names)
-    stage.pause(GONE_S)
+    if not fault.sudden:
+        fault.begin(stage, fault.names)
+    stage.pause(gone_s)
     if fault.behind:
         stage.purges(0.0, fault.behind, HOUR_S)
         stage.pause(1.0)
@@ -150,8 +156,10 @@
 
 
 def _knows(stage: Stage, names: Sequence[str], newest: int) -> bool:
-    """Whether these hold discovery's list, and were told that purge or a later one."""
+    """Whether these are connected, hold discovery's list, and were told that purge or a later one."""
     state = stage.state(names)
+    if state["connected"] < state["running"]:
+        return False
     return list(state["digests"]) == [stage.digest()] and state["highest"] >= newest
 
 
--- a/packages/fleet-scale/src/fleet_scale/slopes.py
+++ b/packages/fleet-scale/src/fleet_scale/slopes.py
@@ -11,7 +11,8 @@
 from fleet_scale.fit import fit
 from fleet_scale.measure import Cost, cost, sample
 from fleet_scale.report import Report
-from fleet_scale.stage import Options, Stage
+from fleet_scale.setup import Options
+from fleet_scale.stage import Stage
 from fleet_scale.topology import Topology
 
 RATES, SHELFS, ROUTERS = (0.0, 34.0, 100.0, 340.0), (50, 110, 220, 440), (25, 50, 100, 200)
--- a/packages/fleet-scale/src/fleet_scale/small.py
+++ b/packages/fleet-scale/src/fleet_scale/small.py
@@ -10,10 +10,11 @@
 from fleet_scale.faults import HEAD, Fault, cut, end_routers, heal, play, restart_all, sever, start_routers
 from fleet_scale.measure import cost, sample, spread
 from fleet_scale.report import Report
-from fleet_scale.stage import Options, Stage
+from fleet_scale.setup import Options
+from fleet_scale.stage import Stage
 from fleet_scale.topology import Topology
 
-IN_STEP_S = 20.0
+IN_STEP_S, GONE_S = 20.0, 1.0
 MEMBER_TIMINGS = {
     "probe_every_ms": 400,
     "probe_timeout_ms": 150,
@@ -43,7 +44,7 @@
     _flow(report, stage, mode)
     table = report.table(f"Faults, {stage.topology.routers} routers, {mode}", *HEAD)
     for fault in _faults(stage):
-        play(report, table, stage, fault, mode)
+        play(report, table, stage, fault, mode, GONE_S)
     if stage.options.members:
         _members(report, stage, mode)
     _requests(report, stage, mode)
@@ -76,8 +77,8 @@
     region = tuple(name for one in stage.sites if one.region == site.region for name in one.routers)
     return [
         Fault("a rack is gone and back", site.routers[:3], end_routers, start_routers),
-        Fault("a zone reconnects at once", zone, sever, lambda *_: None),
-        Fault("12 restarts", region[:12], restart_all, lambda *_: None),
+        Fault("a zone reconnects at once", zone, sever, sever, sudden=True),
+        Fault("12 restarts", region[:12], restart_all, restart_all, sudden=True),
         Fault("a region is cut, 1000 purges behind", region, cut, heal, 1000),
     ]
 
--- a/packages/fleet-scale/src/fleet_scale/stage.py
+++ b/packages/fleet-scale/src/fleet_scale/stage.py
@@ -1,24 +1,19 @@
-"""All processes of one run, put together by a topology and ended in every outcome."""
+"""A run on its way: what discovery is told to tell, what routers know, what is waited for."""
 
 from __future__ import annotations
 
-import json
-import os
-import shutil
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 from pathlib import Path
-from random import Random
 from typing import Any
 
-from fleet_scale.child import Process, Program, RunError, Worker, ask_all
-from fleet_scale.files import Address, config_of, free_address, free_datagram_address, text_of, toml
+from fleet_scale.child import RunError, ask_all
 from fleet_scale.plan import Changes, Purges
+from fleet_scale.setup import Options, Setup
 from fleet_scale.tally import Taken, merged
-from fleet_scale.topology import Site, Topology
+from fleet_scale.topology import Topology
 
 MEMORY_SHARE = 0.5  # of the machine's, that a run may hold
 LEAST_FREE_MB = 300.0  # of the machine's memory, that a run leaves to others
@@ -26,20 +21,8 @@
 AHEAD_S = 0.5  # before a plan begins: all processes have it by then
 
 
-@dataclass(frozen=True, slots=True)
-class Options:
-    """What of a topology is turned on.  ``linked``: routers poll across links; ``timings`` of members."""
-
-    relays: bool = False
-    linked: bool = False
-    members: bool = False
-    load_rate: float = 0.0  # requests a second to each whole router
-    whole: bool = False
-    join_ms: float = 150.0
-
-
-class Stage:
-    """A context manager.  RunError for what can't go on, the memory's bound and the run's end among it."""
+class Stage(Setup):
+    """RunError for what can't go on, the memory's bound and the run's end (``most_s`` from here) among it."""
 
     def __init__(
         self,
@@ -48,168 +31,10 @@
         most_s: float = 600.0,
         timings: Mapping[str, float] | None = None,
     ) -> None:
-        self.topology, self.options, self.timings = topology, options, dict(timings or {})
-        self.ended: set[str] = set()  # routers that were ended once
-        self.sites = topology.sites()
+        super().__init__(topology, options, timings)
         self.until = time.monotonic() + most_s
-        self.draw = Random(os.urandom(8))  # for addresses alone
-        self.folder = Path(tempfile.mkdtemp(prefix="fleet-scale-"))
-        self.processes: list[Process] = []
-        self.discoveries: list[Worker] = []
-        self.links: list[Worker] = []
-        self.hollows: list[Worker] = []
-        self.relays: list[Program] = []
-        self.wholes: list[Program] = []
-        self.doors: dict[str, Address] = {}
-        self.load: Worker | None = None
-        self.sources: list[tuple[str, str, Address]] = []  # region, name, address of what routers poll
+        self.ended: set[str] = set()  # routers that were ended once
         self.next_purge, self.next_change = 0, 1
-        self.ways: dict[tuple[str, str], Address] = {}  # by site and source
-        self.routes: dict[Worker, frozenset[str]] = {}  # by the process that carries them
-        self.groups: dict[Worker, frozenset[str]] = {}  # hollow routers by their process
-
-    def __enter__(self) -> Stage:
-        try:
-            self._start()
-        except BaseException:
-            self.stop()
-            raise
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.stop()
-
-    def stop(self) -> None:
-        """End every process by its id, wait for each, remove all files."""
-        for process in self.processes:
-            process.kill()
-        for process in self.processes:
-            process.wait()
-        self.processes.clear()
-        shutil.rmtree(self.folder, ignore_errors=True)
-
-    # -- the start --
-
-    def _start(self) -> None:
-        shelfs = self._workers("shelf", [{}] * 3)
-        ports = [reply["port"] for _, reply in shelfs]
-        told = {"shelfs": self.topology.shelfs, "sites": [site.name for site in self.sites], "ports": ports}
-        begun = self._workers("discovery", [told] * self.topology.discoveries)
-        self.discoveries = [worker for worker, _ in begun]
-        regions = list(self.topology.regions)
-        for place, (worker, reply) in enumerate(begun):
-            self.sources.append((regions[place % len(regions)], worker.name, ("127.0.0.1", reply["port"])))
-        if self.options.relays:
-            self._start_relays()
-        if self.options.linked and self.topology.links:
-            self._start_links()
-        if self.options.whole:
-            self._start_wholes()
-        self._start_hollows()
-
-    def _workers(self, role: str, settings: Sequence[Any]) -> list[tuple[Worker, dict[str, Any]]]:
-        """Started side by side; each with its first reply."""
-        workers = []
-        for place, told in enumerate(settings):
-            worker = Worker(role, f"{role}-{place + 1}", self.folder, told)
-            self.processes.append(worker)
-            workers.append(worker)
-        return [(worker, worker.reply()) for worker in workers]
-
-    def _program(self, name: str, config: Path | None, extras: Path | None) -> Program:
-        program = Program(name, self.folder, config, extras)
-        self.processes.append(program)
-        return program
-
-    def _start_relays(self) -> None:
-        """From here on routers poll these."""
-        upstreams = [text_of(address) for _, _, address in self.sources]
-        found = []
-        for place, region in enumerate(self.topology.relays):
-            name, at, door = f"relay-{place + 1}", free_address(self.draw), free_address(self.draw)
-            extras = self.folder / f"{name}.toml"
-            told: dict[str, Any] = {"listen": text_of(at), "name": name, "admin_addr": text_of(door)}
-            told |= {"upstreams": upstreams, "join_ms": self.options.join_ms}
-            extras.write_text(toml("relay", told))
-            self.relays.append(self._program(name, None, extras))
-            self.doors[name] = door
-            found.append((region, name, at))
-        self.sources = found
-
-    def _start_links(self) -> None:
-        """A route from each site to what its routers poll, spread over the processes."""
-        delays, count = self.topology.delays, self.topology.links
-        lines: list[list[dict[str, Any]]] = [[] for _ in range(count)]
-        for place, site in enumerate(self.sites):
-            for region, name, address in self._near(site):
-                far = delays.far if region != site.region else delays.region
-                line = {"name": f"{site.name}>{name}", "target": address, "delay_ms": far}
-                lines[place % count].append(line)
-        begun = self._workers("links", [{"routes": some} for some in lines])
-        self.links = [worker for worker, _ in begun]
-        for worker, reply in begun:
-            self.routes[worker] = frozenset(reply["ports"])
-            for route, port in reply["ports"].items():
-                site_name, _, source = route.partition(">")
-                self.ways[site_name, source] = ("127.0.0.1", port)
-
-    def _near(self, site: Site) -> list[tuple[str, str, Address]]:
-        """What a site's routers poll: sources of their region first, then the others by turns."""
-        own = [source for source in self.sources if source[0] == site.region]
-        others = [source for source in self.sources if source[0] != site.region]
-        turn = self.sites.index(site) % max(len(others), 1)
-        return [*own, *others[turn:], *others[:turn]]
-
-    def hold(self, routes: Sequence[str], ways: Sequence[str]) -> None:
-        """Cut these ways (``forth``, ``back``) of routes by name, and heal their others."""
-        for worker, ports in self.routes.items():
-            worker.ask("hold", names=[route for route in routes if route in ports], ways=list(ways))
-
-    def channel_of(self, site: Site) -> Address:
-        """What its routers poll first."""
-        _, name, address = self._near(site)[0]
-        return self.ways.get((site.name, name), address)
-
-    def _start_hollows(self) -> None:
-        places = [(name, site) for site in self.sites for name in site.routers]
-        voters = self._voters()
-        addresses = {name: free_datagram_address(self.draw) for name, _ in places} if voters else {}
-        seeds = [addresses[name] for name in voters]
-        lines = []
-        for name, site in places:
-            line: dict[str, Any] = {"name": name, "site": site.name, "channel": self.channel_of(site)}
-            if voters:
-                line["fleet"] = {"listen": addresses[name], "seeds": seeds, "voters": voters}
-                line["fleet"]["timings"] = self.timings
-            lines.append(line)
-        each = self.topology.hollow_each
-        told = {"sites": [site.name for site in self.sites], "folder": str(self.folder / "members")}
-        groups = [lines[begin : begin + each] for begin in range(0, len(lines), each)]
-        begun = self._workers("hollow", [told | {"routers": group} for group in groups])
-        self.hollows = [worker for worker, _ in begun]
-        names = [frozenset(line["name"] for line in group) for group in groups]
-        self.groups = dict(zip(self.hollows, names, strict=True))
-
-    def _voters(self) -> list[str]:
-        """The first router of a site of each voter's region."""
-        if not self.options.members:
-            return []
-        by_region = {site.region: site.routers for site in reversed(self.sites) if site.routers}
-        return [by_region[region][0] for region in dict.fromkeys(self.topology.voters)]
-
-    def _start_wholes(self) -> None:
-        fronts = []
-        names = [site.name for site in self.sites]
-        for place, region in enumerate(self.topology.whole):
-            site = next(site for site in self.sites if site.region == region)
-            name, front, door = f"whole-{place + 1}", free_address(self.draw), free_address(self.draw)
-            config = self.folder / f"{name}.json"
-            told = config_of(name, site.name, names, self.channel_of(site), front, door)
-            config.write_text(json.dumps(told))
-            self.wholes.append(self._program(name, config, None))
-            self.doors[name] = door
-            fronts.append(front)
-        (self.load, _), *_ = self._workers("load", [{"fronts": fronts, "rate": self.options.load_rate}])
 
     # -- the plan --
 
@@ -227,6 +52,11 @@
         ask_all(self.discoveries, "plan", kind="changes", **asdict(plan))
         return plan
 
+    def hold(self, routes: Sequence[str], ways: Sequence[str]) -> None:
+        """Cut these ways (``forth``, ``back``) of routes by name, and heal their others."""
+        for worker, ports in self.routes.items():
+            worker.ask("hold", names=[route for route in routes if route in ports], ways=list(ways))
+
     def taken(self, plan: Purges | Changes, apart: Sequence[str] = ()) -> dict[int, Taken]:
         """Who took what of a plan, and when, over all processes but those that hold one of ``apart``."""
         beside = [hollow for hollow in self.hollows if not self.groups[hollow] & set(apart)]
@@ -269,11 +99,13 @@
         return list(state["digests"]) == [self.digest()] and state["highest"] == self.next_purge - 1
 
     def wait(self, holds: Callable[[], bool], within_s: float) -> float | None:
-        """Seconds until something holds; None where it did not in time."""
+        """Seconds until something holds; None where it did not in time.  RunError past the run's end."""
         begun = time.monotonic()
-        end = min(begun + within_s, self.until)
         while not holds():
-            if time.monotonic() >= end:
+            now = time.monotonic()
+            if now >= self.until:
+                raise RunError("the run took longer than it may")
+            if now >= begun + within_s:
                 return None
             time.sleep(LOOK_S)
         return time.monotonic() - begun
