--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 seeds: dev  # membership and shares under drawn faults; see packages/fleet-sim
 	$(VENV)/bin/python -m fleet_sim --seeds 2000 --jobs 2
 
-check: lint test seeds tidy
+check: lint test seeds scale-small tidy
 
 run: build
 	exec .venv/bin/python -m thornjunction
@@ -39,4 +39,4 @@
 	$(VENV)/bin/python -m fleet_scale all --out docs/capacity/scale.md
 
 scale-small: dev  # the form for CI: verdicts on counts and orders, under 90 s
-	$(VENV)/bin/python -m fleet_scale small --out found/scale-small.md
+	$(VENV)/bin/python -m fleet_scale small --most-s 90 --out found/scale-small.md
