--- a/packages/fleet-scale/src/fleet_scale/child.py
+++ b/packages/fleet-scale/src/fleet_scale/child.py
@@ -54,16 +54,17 @@
                 pipe.close()
 
     def usage(self) -> dict[str, float]:
-        """Processor seconds since its start, MB held, descriptors; RunError where it has ended."""
+        """Processor seconds since its start, MB resident, and without what it shares with files on disk,
+        descriptors; RunError where it has ended."""
         try:
             fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
-            pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+            pages = [int(word) for word in Path(f"/proc/{self.pid}/statm").read_text().split()[1:3]]
             descriptors = len(os.listdir(f"/proc/{self.pid}/fd"))
         except OSError as error:
             raise RunError(f"{self.name} has ended; its log: {self.told()}") from error
-        mb = pages * os.sysconf("SC_PAGESIZE") / 1e6
+        mb, shared_mb = (count * os.sysconf("SC_PAGESIZE") / 1e6 for count in pages)
         ticks = int(fields[11]) + int(fields[12])
-        return {"cpu_s": ticks * TICK_S, "mb": mb, "descriptors": descriptors, "now": time.monotonic()}
+        return {"cpu_s": ticks * TICK_S, "mb": mb, "own_mb": mb - shared_mb, "descriptors": descriptors}
 
     def told(self) -> str:
         """The end of its log."""
--- a/packages/fleet-scale/src/fleet_scale/compare.py
+++ b/packages/fleet-scale/src/fleet_scale/compare.py
@@ -30,13 +30,14 @@
     )  # fmt: skip
     routers = report.table(
         "What control costs a router",
-        "routers", "way", "KB/s in", "KB/s out", "answers/s", "core %", "idle core %", "MB of a hollow one",
-        "whole router: core % under control", "idle core %", "MB", "requests p99 ms (idle)",
+        "routers", "way", "KB/s in", "KB/s out", "answers/s", "core %", "idle core %",
+        "own MB of a hollow one",
+        "whole router: core % under control", "idle core %", "MB resident (own)", "requests p99 ms (idle)",
     )  # fmt: skip
     sources = report.table(
         "What it costs discovery and a relay",
-        "routers", "way", "polls/s at discovery", "core %", "MB", "connections", "a relay's core %", "MB",
-        "connections",
+        "routers", "way", "polls/s at discovery", "core %", "own MB", "connections", "a relay's core %",
+        "own MB", "connections",
     )  # fmt: skip
     for size in sizes:
         for mode in modes:
@@ -102,7 +103,7 @@
         cost.router_mb,
         100 * cost.whole_core,
         100 * rest.whole_core,
-        cost.whole_mb,
+        f"{cost.whole_mb:.1f} ({cost.whole_own_mb:.1f})",
         f"{loaded_ms:.1f} ({quiet_ms:.1f})",
     )
     sources.add(
--- a/packages/fleet-scale/src/fleet_scale/discovery.py
+++ b/packages/fleet-scale/src/fleet_scale/discovery.py
@@ -158,6 +158,9 @@
         self._call, now = None, self.clock()
         while self._planned and self._planned[0][0] <= now:
             due, place, what, number = heapq.heappop(self._planned)
+            if isinstance(what, Purges) and not what.rate:
+                self.log.past((one, self._unix_ms(what, one)) for one in what.numbers())
+                continue
             self._tell(what, number)
             if number + 1 < what.first + what.count:
                 heapq.heappush(self._planned, (what.due(number + 1), place, what, number + 1))
@@ -166,12 +169,14 @@
 
     def _tell(self, what: Purges | Changes, number: int) -> None:
         if isinstance(what, Purges):
-            age_s = self.clock() - what.purged(number)
-            return self.log.purge(number, (time.time() - age_s) * 1000.0)
+            return self.log.purge(number, self._unix_ms(what, number))
         names = [name for name in self.log.hosts if name != "origin"]
         name = names[what.shelf(number, len(names))]
         self.log.change(name, health=what.state(number), share=share_of(number))
 
+    def _unix_ms(self, what: Purges, number: int) -> float:
+        return (time.time() - self.clock() + what.purged(number)) * 1000.0
+
     def figures(self) -> dict[str, Any]:
         """Counts since the start, and how it stands."""
         serving = {n: float(h["share"]) for n, h in self.log.hosts.items() if h["health"] == "active"}
--- a/packages/fleet-scale/src/fleet_scale/event_log.py
+++ b/packages/fleet-scale/src/fleet_scale/event_log.py
@@ -4,13 +4,14 @@
 
 import json
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 from zlib import crc32
 
 HOLD_MS = 10_000.0  # a purge concerns whoever starts within so much of it
 MOST_EVENTS = 400_000  # kept; over three hours at 34 a second
 CACHED = 64  # answers kept until the next event
+NEAR = 20  # events: who is so near the newest is in step, and only on its way to ask for the last ones
 
 Line = dict[str, Any]
 
@@ -28,11 +29,13 @@
         self._events: list[bytes] = []
         self._held: deque[tuple[float, bytes]] = deque()  # purges with their own times, ms
         self._cache: dict[int, bytes] = {}
+        self._newest = 0.0  # of the purges' own times
+        self._past = 0, 0  # numbers between which lies a past that those in step have lived through
         self._list(list(self.hosts.values()), whole=True)
 
     def restart(self) -> None:
         """New numbers, as after a start of discovery: the whole list is the first event again."""
-        self.cursor = 0
+        self.cursor, self._past = 0, (0, 0)
         self._events.clear()
         self._held.clear()
         self._list(list(self.hosts.values()), whole=True)
@@ -41,10 +44,20 @@
         """The object of that number is purged, at a Unix time."""
         drop = b'"drop":{"id":"%016x","when":%d}}' % (number, when_ms)
         self._add(drop)
-        self._held.append((when_ms, drop))
-        while self._held and self._held[0][0] < when_ms - HOLD_MS:
+        self._newest = max(self._newest, when_ms)
+        if when_ms >= self._newest - HOLD_MS:
+            self._held.append((when_ms, drop))
+        while self._held and self._held[0][0] < self._newest - HOLD_MS:
             self._held.popleft()
 
+    def past(self, purges: Iterable[tuple[int, float]]) -> None:
+        """So many purges were told while some could not hear: to who is in step they count as told, but for
+        the last; who is further behind is told all."""
+        before = self.cursor
+        for number, when_ms in purges:
+            self.purge(number, when_ms)
+        self._past = before, self.cursor
+
     def change(self, name: str, **more: Any) -> None:
         """One line of the list as it stands now; KeyError where it is not listed."""
         self.hosts[name] |= more
@@ -70,7 +83,13 @@
         purges that hold, and the list under the newest number."""
         if (made := self._cache.get(resume)) is not None:
             return made
-        events = self._whole() if resume <= 0 else self._events[resume:]
+        before, after = self._past
+        if resume <= 0:
+            events = self._whole()
+        elif before - NEAR <= resume < after:
+            events = self._events[resume:before] + self._events[after - 1 :]
+        else:
+            events = self._events[resume:]
         body = b'{"cursor":%d,"cmds":[%b]}' % (self.cursor, b",".join(events))
         if len(self._cache) >= CACHED:
             self._cache.clear()
--- a/packages/fleet-scale/src/fleet_scale/faults.py
+++ b/packages/fleet-scale/src/fleet_scale/faults.py
@@ -90,6 +90,8 @@
     zone = tuple(name for site in sites if site.zone == sites[-1].zone for name in site.routers)
     region = tuple(name for site in sites if site.region == sites[-1].region for name in site.routers)
     rack = tuple(everyone[: max(round(RACK * len(everyone)), 3)])
+    with_relay = [site for site in sites if site.region in topology.relays[-1:]]
+    relayed = tuple(name for site in with_relay for name in site.routers)
     restarted = tuple((everyone * (restarts // len(everyone) + 1))[:restarts])
     return [
         Fault("a rack is gone and back", rack, end_routers, start_routers),
@@ -99,6 +101,7 @@
         Fault(f"{restarts} restarts", restarted, restart_all, restart_all, sudden=True),
         Fault("a region is cut, one way (answers)", region, lambda s, n: cut(s, n, ("back",)), heal),
         Fault(f"a region is cut, {behind} purges behind", region, cut, heal, behind),
+        Fault(f"a region and its relay are cut, {behind} purges behind", relayed, cut, heal, behind),
     ]
 
 
@@ -111,7 +114,8 @@
         table = report.table(title, *HEAD)
         try:
             with Stage(topology, Options(relays=mode != "direct", linked=True), most_s) as stage:
-                for fault in faults_of(topology, behind, restarts):
+                plays = faults_of(topology, behind, restarts)
+                for fault in plays if stage.relays else plays[:-1]:
                     play(report, table, stage, fault, mode)
         except RunError as error:
             report.verdict(f"{mode}: played to the end ({error})", False)
@@ -122,13 +126,14 @@
     if stage.wait(stage.in_step, IN_STEP_S) is None:
         raise RunError(f"not in step before: {fault.name}")
     before_repeats = stage.state()["repeated"]
+    past = stage.reserve(fault.behind)  # its numbers lie below the flow's, whose last one is told last
     flow = stage.purges(RATE, int(RATE * 2 * gone_s))
     stage.pause(max(flow.at - time.monotonic(), 0.0))
     if not fault.sudden:
         fault.begin(stage, fault.names)
     stage.pause(gone_s)
     if fault.behind:
-        stage.purges(0.0, fault.behind, HOUR_S)
+        stage.past(past, fault.behind, HOUR_S)
         stage.pause(1.0)
     if fault.begin is cut:
         behind = stage.state(fault.names)["highest_of_any"]
@@ -152,7 +157,7 @@
 def _newest(stage: Stage, flow: Purges) -> int:
     """The number of the newest purge that is told by now."""
     told = int((time.monotonic() - flow.at) * flow.rate)
-    return stage.next_purge - 1 if stage.next_purge > flow.first + flow.count else flow.first + told
+    return flow.first + min(told, flow.count - 1)
 
 
 def _knows(stage: Stage, names: Sequence[str], newest: int) -> bool:
--- a/packages/fleet-scale/src/fleet_scale/plan.py
+++ b/packages/fleet-scale/src/fleet_scale/plan.py
@@ -21,7 +21,7 @@
 @dataclass(frozen=True, slots=True)
 class Purges:
     """``count`` purges from ``at`` (s on the monotonic clock), ``rate`` a second; the first has number
-    ``first``.  A rate of 0: all at once, their times spread over the ``past_s`` before ``at``."""
+    ``first``.  A rate of 0: all at once, as a past of ``past_s`` before ``at`` that those in step know."""
 
     at: float
     rate: float
--- a/packages/fleet-scale/src/fleet_scale/stage.py
+++ b/packages/fleet-scale/src/fleet_scale/stage.py
@@ -38,10 +38,21 @@
 
     # -- the plan --
 
-    def purges(self, rate: float, count: int, past_s: float = 0.0) -> Purges:
+    def purges(self, rate: float, count: int) -> Purges:
         """Tell so many purges, from soon on."""
-        plan = Purges(time.monotonic() + AHEAD_S, rate, count, self.next_purge, past_s)
+        return self._plan(Purges(time.monotonic() + AHEAD_S, rate, count, self.reserve(count)))
+
+    def reserve(self, count: int) -> int:
+        """Numbers for so many purges; the first of them."""
         self.next_purge += count
+        return self.next_purge - count
+
+    def past(self, first: int, count: int, past_s: float) -> Purges:
+        """So many were told over so long, and those in step know them: from soon on, all others are that far
+        behind."""
+        return self._plan(Purges(time.monotonic() + AHEAD_S, 0.0, count, first, past_s))
+
+    def _plan(self, plan: Purges) -> Purges:
         ask_all(self.discoveries, "plan", kind="purges", **asdict(plan))
         return plan
 
--- a/packages/fleet-scale/src/fleet_scale/topology.py
+++ b/packages/fleet-scale/src/fleet_scale/topology.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
@@ -9,7 +10,7 @@
 from typing import Any
 
 MOST_ROUTERS, MOST_SHELFS, MOST_EACH = 2000, 4096, 200  # of a run; of a list; hollow ones in one process
-MOST_PROCESSES = 64  # of one role
+LEAST_PROCESSES, MOST_PROCESSES = 4, 64  # of hollow routers
 HERE = Path(__file__).resolve().parent
 
 
@@ -72,8 +73,10 @@
     def sized(self, routers: int = 0, shelfs: int = 0, relays: int = -1) -> Topology:
         """The same places with so many of each; 0, or under 0 for relays, leaves what the file says."""
         kept = self.relays if relays < 0 else (self.relays * (relays or 1))[:relays]
+        count = routers or self.routers
+        each = min(self.hollow_each, max(math.ceil(count / LEAST_PROCESSES), 1))
         fresh = replace(
-            self, routers=routers or self.routers, shelfs=shelfs or self.shelfs, relays=tuple(kept)
+            self, routers=count, shelfs=shelfs or self.shelfs, relays=tuple(kept), hollow_each=each
         )
         _check(fresh)
         return fresh
--- a/packages/fleet-scale/src/fleet_scale/worker.py
+++ b/packages/fleet-scale/src/fleet_scale/worker.py
@@ -65,12 +65,12 @@
 
 
 def usage() -> dict[str, Any]:
-    """This process's own cost: processor seconds since its start, MB that it holds now, and at its peak."""
+    """This process's cost: processor seconds since its start, MB resident, without what it shares with files
+    on disk, and resident at its peak."""
     with open("/proc/self/statm", encoding="ascii") as told:
-        pages = int(told.read().split()[1])
+        resident, shared = (int(word) * resource.getpagesize() / 1e6 for word in told.read().split()[1:3])
     peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
-    mb = pages * resource.getpagesize() / 1e6
-    return {"cpu_s": time.process_time(), "mb": mb, "peak_mb": peak_mb, "now": time.monotonic()}
+    return {"cpu_s": time.process_time(), "mb": resident, "own_mb": resident - shared, "peak_mb": peak_mb}
 
 
 def main(role: str, parent: int) -> None:
--- a/packages/fleet-scale/tests/test_scale_parts.py
+++ b/packages/fleet-scale/tests/test_scale_parts.py
@@ -82,6 +82,20 @@
     assert log.cursor == 1 and len(read(log.answer(0)).events) == 1
 
 
+def test_a_past_is_told_to_those_who_were_behind_before_it() -> None:
+    log = log_of(1)
+    for number in range(100):
+        log.purge(number, 1e12)
+    log.past((number, 1e12) for number in range(100, 200))
+    log.purge(200, 1e12)
+
+    def keys(resume: int) -> list[int | None]:
+        return [event.key for event in read(log.answer(resume)).events if isinstance(event, Purge)]
+
+    assert keys(101) == [199, 200] and keys(99) == [98, 99, 199, 200] and keys(201) == [200]
+    assert keys(80) == list(range(79, 201))
+
+
 def test_lists_have_one_name_wherever_they_are() -> None:
     assert digest({"a": 1.0, "b": 2.0}) == digest({"b": 2.0, "a": 1.0}) != digest({"a": 1.0})
 
