--- a/packages/control-relay/src/control_relay/machine.py
+++ b/packages/control-relay/src/control_relay/machine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import re
 from collections.abc import Callable
 from typing import Any
 
@@ -13,7 +12,7 @@
 from control_relay.encoding import duration, whole_number
 from control_relay.marks import Flushes, Marks
 from control_relay.pages import Pages, Reply
-from control_relay.routers import Router, Routers
+from control_relay.routers import NAME, Router, Routers
 from control_relay.seam import (
     Answer,
     Attached,
@@ -36,8 +35,6 @@
 from control_relay.waiting import SLOT_MS, Waiting
 
 JOIN, DEADLINE = 1, 2  # timers
-NAME = re.compile(r"[A-Za-z0-9._-]{1,32}", re.ASCII)
-MOST_NAMES = 8
 
 
 class Relay:
@@ -55,7 +52,7 @@
         self.marks = Marks(base - 1, settings.recent)
         self.routers = Routers(settings, 0.0)
         self.ready = False
-        self.as_of = -math.inf
+        self.as_of = self._told_as_of = -math.inf  # of what is known; of what has gone out
         self._whole_told = 0  # the latest list that went out in a whole state
         self._join_at: float | None = None
         self._handlers: dict[type, Callable[[float, Any], list[RelayAction]]] = {
@@ -93,7 +90,8 @@
         return views.handed_up(self.marks, self.routers, self.log.told)
 
     def age_ms(self, now: float) -> float:
-        return max(0.0, now - self.as_of)
+        """Of what has gone out: discovery confirmed that it stood so, so long ago or later."""
+        return max(0.0, now - self._told_as_of)
 
     # -- from upstream
 
@@ -130,6 +128,11 @@
     def _confirmed(self, now: float, event: Confirmed) -> list[RelayAction]:
         if math.isfinite(event.age_ms):
             self.as_of = max(self.as_of, now - max(0.0, event.age_ms))
+        if not self.log.pending:  # else what goes out now lacks what waits, and is older
+            self._told_as_of = self.as_of
+        if event.number:
+            self.marks.taken(self.log.head, whole_number(event.number))
+            self._advance(now)
         if self.ready or not self.state.shelves.number or self.as_of == -math.inf:
             return []
         self.ready = True
@@ -142,6 +145,9 @@
         self.waiting.remove(poller)
         if not self.ready:
             return [Refuse(poller, "no-state")]
+        if event.role == "probe":
+            self._elsewhere(now, event)
+            return [Answer(poller, self.pages.changes(now, self.age_ms(now), self.log.told).body)]
         if len(self.waiting) >= self.settings.most_waiting:
             return [Refuse(poller, "polls-full")]
         block_ms = duration(event.block_ms, self.settings.most_block_ms)
@@ -152,9 +158,9 @@
                 return [Refuse(poller, "routers-full")]
         resume = whole_number(event.resume)
         ours = self.base <= resume <= self.log.told and (not event.epoch or event.epoch == self.epoch)
-        steady = not ours or router is None or self._heard(router, event, resume)
+        steady = not ours or router is None or self.routers.heard(router, event, resume)
         if router is not None and not ours:
-            self._forget_confirmed(router)
+            self.routers.forget_confirmed(router)
         self._advance(now)
         if not (ours and self._holds_list(router, resume, steady)):
             return self._tell_whole(now, poller, router, resume if ours else 0)
@@ -165,29 +171,17 @@
     def _router(self, now: float, event: Polled, block_ms: float) -> Router | None:
         named = isinstance(event.name, str) and NAME.fullmatch(event.name)
         role = "relay" if event.role == "relay" else "router"
-        return self.routers.polled(now, event.name if named else f"#{event.poller}", role, block_ms)
-
-    def _heard(self, router: Router, event: Polled, resume: int) -> bool:
-        """Take a confirmation in this epoch; False if the number went back: this is another life."""
-        if resume < router.resume:
-            self._forget_confirmed(router)
-            router.resume = resume
-            return False
-        router.resume = resume
-        taken = resume
-        if router.role == "relay":
-            taken = min(resume, whole_number(event.done))
-            router.behind = min(max(0, whole_number(event.behind)), 1 << 20)
-            router.names = tuple(
-                n for n in event.names[:MOST_NAMES] if isinstance(n, str) and NAME.fullmatch(n)
-            )
-        self.routers.confirm(router, router.covered(taken))
-        return True
-
-    def _forget_confirmed(self, router: Router) -> None:
-        router.told.clear()
-        router.resume = 0
-        self.routers.confirm(router, 0)
+        router = self.routers.polled(now, event.name if named else f"#{event.poller}", role, block_ms)
+        if router is not None:
+            router.poller = event.poller
+        return router
+
+    def _elsewhere(self, now: float, event: Polled) -> None:
+        """Guards one who has come back, and waits on another connection, against its own late probe."""
+        router = self.routers.get(event.name)
+        if router is not None and (router.poller == event.poller or router.poller not in self.waiting):
+            self.routers.dismiss(event.name)
+            self._advance(now)
 
     def _holds_list(self, router: Router | None, resume: int, steady: bool) -> bool:
         """Whether who has this number has the list to which what follows in the log applies.  Guards the list
@@ -221,6 +215,7 @@
         if router is not None:
             if reply.whole:
                 router.whole_at = reply.whole
+                router.told.clear()  # Guards the list: in a whole state purges come before it
             elif router.whole_at is None:
                 router.whole_at = 0
             if reply.covers:
@@ -229,6 +224,7 @@
 
     def _gone(self, now: float, event: PollerGone) -> list[RelayAction]:
         self.waiting.remove(event.poller)
+        self._dismissed(now, Dismissed(f"#{event.poller}"))
         return []
 
     def _dismissed(self, now: float, event: Dismissed) -> list[RelayAction]:
@@ -263,6 +259,7 @@
             return []
         before = self.log.told
         self.log.flush()
+        self._told_as_of = self.as_of
         self.pages.clear()
         self.flushes.add(self.log.told, now)
         actions: list[RelayAction] = []
--- a/packages/control-sources/src/control_sources/follower.py
+++ b/packages/control-sources/src/control_sources/follower.py
@@ -38,7 +38,7 @@
         self.listed, self.as_of = False, -math.inf  # of the list that is held
         self._confirmed = -math.inf  # as-of for others: of the last answer that told all
         self._entering = True
-        self._passing: float | None = None  # changes up to this seq are passed over: the source is older
+        self._passing: float | None = None  # the source is older: its changes up to this seq are no news
         self._gap, self._again_at, self._again_ms = False, -math.inf, AGAIN_MS
         self._back, self._back_since = 0, 0.0
         self._checked: int | None = None  # the number that was held when numbers went back
@@ -72,10 +72,12 @@
         lists = [event for event in taken if isinstance(event, ListEvent)]
         return Taken((*lists, *([whole] if whole is not None else []), *purges), standing)
 
-    def begin(self, now: float, epoch: str, age_ms: float, cursor: int) -> None:
-        """An answer to the last poll begins."""
+    def begin(self, now: float, epoch: str, age_ms: float, cursor: int | None) -> None:
+        """An answer to the last poll begins.  ``cursor`` is None where that comes behind the events only;
+        then nothing is taken for a new start of discovery."""
         age = max(age_ms, 0.0)
         self._now, self._latest, self._earliest = now, now - age, min(self._asked_at, now) - age
+        cursor = cursor if cursor is not None else max(self.cursor, self._asked_from)
         self._last, self._reached, self._foreign = cursor, -1, False
         if epoch != self.epoch:
             self._enter(epoch)
@@ -99,8 +101,10 @@
             return False
         return self._change(event)
 
-    def end(self) -> tuple[ListEvent | None, Standing]:
-        """The answer has come whole: the list that is to be applied, if any, and how the source stands."""
+    def end(self, cursor: int | None = None) -> tuple[ListEvent | None, Standing]:
+        """The answer has come whole: the list that is to be applied, if any, and how the source stands.
+        ``cursor`` where it was not known at the beginning."""
+        self._last = self._last if cursor is None else cursor
         behind = self._last < self._floor  # it says that it has not told what we have from it
         if self._foreign or behind or 0 <= self._reached < self._last:
             return None, Standing.MORE
@@ -146,7 +150,10 @@
         if event.whole:
             self.seq, self.listed = event.seq, True
             return True
-        if self._passing is not None and (event.seq is None or event.seq <= self._passing):
+        if self._passing is not None:
+            # Guards what is held against the changes of another history: news of an older source are asked
+            # for as a whole, and judged as such.
+            self._gap |= event.seq is not None and event.seq > self._passing
             return False
         if event.seq is not None:
             self._gap |= self.seq is not None and event.seq > self.seq + 1
--- a/thornjunction/net/catch_up.py
+++ b/thornjunction/net/catch_up.py
@@ -6,13 +6,13 @@
 from typing import Any
 
 from thornjunction.net.wire import ProtocolError
-from thornjunction.net.wire.commands import TOLD_FAULTS, Commands
+from thornjunction.net.wire.commands import TOLD_FAULTS, Commands, read_head
 from thornjunction.net.wire.long_answer import LongAnswer
 
 SHORT = 65_536  # bytes of body: what is no longer is read whole, at once
 LONGEST = 64_000_000  # bytes of body: an hour behind, 122,400 purges, is 10 MB
 PIECE, SLICE = 65_536, 8192  # bytes: of a turn at most, and between two looks at the clock
-PIECE_MS = 8.0  # of parsing in a turn; what was parsed then is applied
+PIECE_MS = 4.0  # of parsing in a turn; what was parsed then is applied
 PIECE_CHANGES = 16  # list changes of a turn: each is weighed by the decisions
 
 Apply = Callable[[int | None, list[Any]], Commands]
@@ -59,6 +59,10 @@
         head = self._answer.end()
         return Commands(head.cursor, (), tuple(self._faults), head.epoch, head.age_ms)
 
+    def head(self) -> Commands | None:
+        """What the answer said before its events; None where its cursor has not come."""
+        return read_head(self._answer.told) if self._told() is not None else None
+
     def drop(self) -> None:
         self._answer.drop()
         self._waiting.clear()
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -17,7 +17,7 @@
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.backoff import grown, worth_logging
 from thornjunction.net.catch_up import SHORT
-from thornjunction.net.channel_link import ChannelLink
+from thornjunction.net.channel_link import BLOCK_MS, SILENT_MS, ChannelLink
 from thornjunction.net.endings import log_end
 from thornjunction.net.new_numbers import Departed, NewNumbers, is_new_start
 from thornjunction.net.transport import dial
@@ -36,6 +36,9 @@
 class Channel:
     """Keeps one connection to the command channel and the number of the last event taken in."""
 
+    block_ms: float = BLOCK_MS  # of a poll
+    silent_ms: float = SILENT_MS  # how much later its answer may come
+
     def __init__(
         self,
         reactor: Any,
@@ -67,6 +70,15 @@
         self._asked = self.cursor
         return 0 if self._numbers.asking else self.cursor
 
+    def target(self, block_ms: float) -> str:
+        """Of the next poll."""
+        return f"/cmd/next?resume={self.ask()}&block={block_ms:.0f}"
+
+    @property
+    def doubtful(self) -> bool:
+        """Whether the first poll of a connection asks what stands now."""
+        return self.failures > 0 or not self.current
+
     @property
     def still(self) -> bool:
         """Whether nothing new has come since the last poll."""
@@ -138,12 +150,12 @@
         elif not self.still:
             self.wasted = 0
 
-    def pause_ms(self, times: int) -> float:
+    def pause_ms(self, times: int, spread: bool = False) -> float:
         """Before the next try, after so many in a row that brought nothing."""
         wait_ms = grown(AGAIN_MS, max(times - 1, 0), MOST_AGAIN_MS)
-        if not self.wasted:
-            return wait_ms
-        return max(wait_ms, grown(WASTED_MS, self.wasted - 1, MOST_WASTED_MS) * (0.5 + random.random() / 2))
+        if self.wasted:
+            wait_ms = max(wait_ms, grown(WASTED_MS, self.wasted - 1, MOST_WASTED_MS))
+        return wait_ms * (0.5 + random.random() / 2) if spread or self.wasted else wait_ms
 
     def start(self) -> None:
         """Dial; what fails is tried again soon."""
@@ -182,5 +194,4 @@
         if worth_logging(count):
             log_end("channel", None, code, polls=polls, failures=count)
         # Guards a channel that comes back against all routers at one moment.
-        wait_ms = self.pause_ms(count) * (0.5 + random.random() / 2)
-        self.deadlines.add(self.clock() + wait_ms, self.start)
+        self.deadlines.add(self.clock() + self.pause_ms(count, spread=True), self.start)
--- a/thornjunction/net/channel_link.py
+++ b/thornjunction/net/channel_link.py
@@ -22,6 +22,7 @@
 MOST_SILENT_MS = 5000.0  # as that grows: under the 7 s, and what the protocol lets a poll take
 AT_ONCE_MS = 1  # of the first poll, and after a failure: it asks what stands now
 CLOSE_MS = 400.0  # for the last bytes to an address that was left
+REST, MOST_REST_MS = 0.5, 10.0  # after a piece, of its time: for requests
 LONG_MS = 30_000.0  # for one answer in pieces; what is left of it then is asked for again
 
 
@@ -46,10 +47,9 @@
 
     def poll(self) -> None:
         channel, self.asked = self.channel, True
-        doubtful = self.polls == 0 and (channel.failures > 0 or not channel.current)
-        self.block, self.sent_at = (AT_ONCE_MS if doubtful else BLOCK_MS), channel.clock()
-        target = f"/cmd/next?resume={channel.ask()}&block={self.block:.0f}"
-        self.transport.write(http1.encode_get(target, channel.host))
+        doubtful = self.polls == 0 and channel.doubtful
+        self.block, self.sent_at = (AT_ONCE_MS if doubtful else channel.block_ms), channel.clock()
+        self.transport.write(http1.encode_get(channel.target(self.block), channel.host))
         # Guards against a cut path: a poll that is not answered says nothing.
         self._expect(self.sent_at + self.block)
 
@@ -57,7 +57,7 @@
         """The answer, or the next piece of it, from then on."""
         channel = self.channel
         channel.deadlines.cancel(self.timer)
-        self.due = start + grown(SILENT_MS, channel.silences, MOST_SILENT_MS)
+        self.due = start + grown(channel.silent_ms, channel.silences, MOST_SILENT_MS)
         if self.long is not None:
             self.due = min(self.due, self.long.until)
         self.timer = channel.deadlines.add(self.due, self._overdue)
@@ -107,36 +107,42 @@
         self.long = CatchUp(channel.clock, channel.clock() + LONG_MS, channel.apply_piece)
 
     def _piece(self) -> None:
-        """Take as much as a turn may; the connection is not read before that is applied."""
-        long = self.long
+        """Take as much as a turn may; then the requests have theirs, before the connection is read again."""
+        channel, long = self.channel, self.long
         assert long is not None
+        started = channel.clock()
         if long.take():
-            self._expect(self.channel.clock())
-        if long.waits:
-            self.transport.pauseProducing()
-            self.turn = self.channel.deadlines.add(self.channel.clock(), self._next_piece)
-        elif long.ended:
-            self._answered(long.end())
+            self._expect(channel.clock())
+        if long.ended and not long.waits:
+            return self._answered(long.end())
+        self.transport.pauseProducing()
+        now = channel.clock()
+        self.turn = channel.deadlines.add(now + min(REST * (now - started), MOST_REST_MS), self._next_piece)
 
     def _next_piece(self) -> None:
-        if self.code:
+        if self.code or self.long is None:
             return
-        self.transport.resumeProducing()
+        if not self.long.waits:
+            return self.transport.resumeProducing()
         try:
             self._piece()
         except ProtocolError as error:
-            self.close(str(error))
+            return self.close(str(error))
+        if self.long is None:
+            self.turn = self.channel.deadlines.add(self.channel.clock(), self.transport.resumeProducing)
 
     def _answered(self, commands: Commands) -> None:
         channel, now, long = self.channel, self.channel.clock(), self.long
         channel.deadlines.cancel(self.timer)
         self.polls, self.asked, self.long = self.polls + 1, False, None
-        channel.answered(commands, steady=now - self.since >= BLOCK_MS)
+        channel.answered(commands, steady=now - self.since >= channel.block_ms)
+        if self.code:  # the answer was a reason to go elsewhere
+            return
         if self.reader.held:
             raise ProtocolError("unasked")
         if not self.keep:
             raise ProtocolError("no-keep-alive")
-        quick = long is not None or now - self.sent_at < self.block - BLOCK_MS / 2
+        quick = long is not None or now - self.sent_at < self.block - channel.block_ms / 2
         early = channel.still and quick
         self.empty = self.empty + 1 if early else 0
         channel.read(long.wasted if early and long is not None else 0)
@@ -163,7 +169,7 @@
         channel.deadlines.cancel(self.timer)
         channel.deadlines.cancel(self.turn)
         channel.link = None
-        lived = self.polls > 0 and channel.clock() - self.since >= BLOCK_MS
+        lived = self.polls > 0 and channel.clock() - self.since >= channel.block_ms
         steady = self.code == "moved" or (lived and self.code != "silent")
         if self.long is not None:
             steady = steady or not channel.still
