--- a/packages/fleet-scale/src/fleet_scale/faults.py
+++ b/packages/fleet-scale/src/fleet_scale/faults.py
@@ -10,7 +10,7 @@
 from fleet_scale.child import RunError, ask_all
 from fleet_scale.compare import RATE
 from fleet_scale.fit import quantile
-from fleet_scale.measure import Sample, sample
+from fleet_scale.measure import Sample, relay_cores, sample
 from fleet_scale.plan import Purges
 from fleet_scale.report import Report, Table
 from fleet_scale.setup import Options
@@ -83,6 +83,16 @@
         start_routers(stage, [name])
 
 
+def kill_relay(stage: Stage, names: Sequence[str]) -> None:
+    """The first one; its routers go elsewhere."""
+    stage.kill_relay(next(iter(stage.relays)))
+
+
+def start_relay(stage: Stage, names: Sequence[str]) -> None:
+    """The one that was killed, empty."""
+    stage.start_relay(next(source.name for source in stage.sources if source.name not in stage.relays))
+
+
 def faults_of(topology: Topology, behind: int, restarts: int) -> list[Fault]:
     """The plays of a topology, by its zones and regions."""
     sites = topology.sites()
@@ -92,6 +102,7 @@
     rack = tuple(everyone[: max(round(RACK * len(everyone)), 3)])
     with_relay = [site for site in sites if site.region in topology.relays[-1:]]
     relayed = tuple(name for site in with_relay for name in site.routers)
+    polled = tuple(name for site in sites if site.region in topology.relays[:1] for name in site.routers)
     restarted = tuple((everyone * (restarts // len(everyone) + 1))[:restarts])
     return [
         Fault("a rack is gone and back", rack, end_routers, start_routers),
@@ -102,6 +113,8 @@
         Fault("a region is cut, one way (answers)", region, lambda s, n: cut(s, n, ("back",)), heal),
         Fault(f"a region is cut, {behind} purges behind", region, cut, heal, behind),
         Fault(f"a region and its relay are cut, {behind} purges behind", relayed, cut, heal, behind),
+        Fault("a relay is killed", polled, kill_relay, kill_relay, sudden=True),
+        Fault("it is back, empty", polled, start_relay, start_relay, sudden=True),
     ]
 
 
@@ -115,7 +128,7 @@
         try:
             with Stage(topology, Options(relays=mode != "direct", linked=True), most_s) as stage:
                 plays = faults_of(topology, behind, restarts)
-                for fault in plays if stage.relays else plays[:-1]:
+                for fault in plays if stage.relays else plays[:-3]:
                     play(report, table, stage, fault, mode)
         except RunError as error:
             report.verdict(f"{mode}: played to the end ({error})", False)
@@ -185,5 +198,5 @@
         return [float(b.get(key, 0)) - float(a.get(key, 0)) for a, b in pairs]
 
     told = sum(more("hollows", "bytes_in")) / 1e6
-    relay = max(more("relays", "cpu_s"), default=0.0)
+    relay = max(relay_cores(before, after), default=0.0)
     return told, sum(more("hollows", "cpu_s")), sum(more("discoveries", "cpu_s")), relay
--- a/packages/fleet-scale/src/fleet_scale/hollows.py
+++ b/packages/fleet-scale/src/fleet_scale/hollows.py
@@ -13,14 +13,15 @@
 from fleet_scale.hollow import CountingReactor, HollowRouter, fleet_settings
 from fleet_scale.tally import Tally
 from thornjunction.runtime.config import Config, parse_config
+from thornjunction.runtime.control_settings import ControlSettings
 from thornjunction.runtime.extras import Extras
 
 NAMED = 8  # at most, of those that are not as they should be
 
 
 class Hollows:
-    """``told``: ``sites`` (all names); ``routers``: each its ``name``, ``site``, ``channel``, and ``fleet``
-    where it is a member; ``folder`` for what a member keeps."""
+    """``told``: ``sites`` (all names); ``routers``: each its ``name``, ``site``, ``channel``, ``sources``
+    where it polls relays, and ``fleet`` where it is a member; ``folder`` for what a member keeps."""
 
     def __init__(self, reactor: Any, told: Mapping[str, Any]) -> None:
         self.told, self.counts, self.tally = told, Counter[str](), Tally()
@@ -37,12 +38,17 @@
             line = self.lines.get(name)
             if line is None or name in self.running:
                 continue
-            fleet = fleet_settings(line["fleet"], name, self.folder) if "fleet" in line else None
-            extras = Extras(fleet=fleet) if fleet is not None else None
-            router = HollowRouter(self._config(line), extras, self.reactor, self.tally)
+            router = HollowRouter(self._config(line), self._extras(line), self.reactor, self.tally)
             self.running[name] = router
             router.start()
 
+    def _extras(self, line: Mapping[str, Any]) -> Extras | None:
+        """None for a plain router, as on the platform."""
+        sources = tuple((str(host), int(port)) for host, port in line.get("sources", ()))
+        control = ControlSettings("", sources) if sources else None
+        fleet = fleet_settings(line["fleet"], line["name"], self.folder) if "fleet" in line else None
+        return Extras(fleet=fleet, control=control) if fleet or control else None
+
     def _config(self, line: Mapping[str, Any]) -> Config:
         site, channel = line["site"], (str(line["channel"][0]), int(line["channel"][1]))
         if site not in self._configs:
--- a/packages/fleet-scale/src/fleet_scale/measure.py
+++ b/packages/fleet-scale/src/fleet_scale/measure.py
@@ -25,7 +25,7 @@
     at: float
     hollows: Sequence[Usage]
     discoveries: Sequence[Usage]
-    relays: Sequence[Usage]
+    relays: Mapping[str, Usage]
     wholes: Sequence[Usage]
     links: Sequence[Usage]
     load: Usage
@@ -37,7 +37,7 @@
         time.monotonic(),
         ask_all(stage.hollows, "figures"),
         ask_all(stage.discoveries, "figures"),
-        [relay.usage() for relay in stage.relays],
+        {name: relay.usage() for name, relay in stage.relays.items()},
         [whole.usage() for whole in stage.wholes],
         ask_all(stage.links, "figures"),
         stage.load.ask("figures") if stage.load is not None else {},
@@ -85,10 +85,11 @@
         return float(sum(b.get(key, 0) - a.get(key, 0) for a, b in pairs)) / seconds
 
     def greatest(of: str, key: str) -> float:
-        return max((float(usage[key]) for usage in getattr(after, of)), default=0.0)
+        usages = getattr(after, of)
+        usages = usages.values() if isinstance(usages, Mapping) else usages
+        return max((float(usage[key]) for usage in usages), default=0.0)
 
-    cores = [b["cpu_s"] - a["cpu_s"] for a, b in zip(before.relays, after.relays, strict=True)]
-    relay_core = max(cores, default=0.0) / seconds
+    relay_core = max(relay_cores(before, after), default=0.0) / seconds
     routers = sum(int(usage["routers"]) for usage in after.hollows)
     each = max(routers, 1)
     mb = sum(usage["own_mb"] for usage in after.hollows) / each
@@ -119,6 +120,12 @@
     )
 
 
+def relay_cores(before: Sample, after: Sample) -> list[float]:
+    """Processor seconds of each relay that lived all the while."""
+    both = [(before.relays[name], usage) for name, usage in after.relays.items() if name in before.relays]
+    return [b["cpu_s"] - a["cpu_s"] for a, b in both if b["cpu_s"] >= a["cpu_s"]]
+
+
 @dataclass(frozen=True, slots=True)
 class Spread:
     """How long what was told took until the last router had it, ms; ``missed``: events that not all have."""
--- a/packages/fleet-scale/src/fleet_scale/setup.py
+++ b/packages/fleet-scale/src/fleet_scale/setup.py
@@ -29,6 +29,7 @@
     whole: bool = False
     load_rate: float = 0.0  # requests a second to each whole router
     join_ms: float = 150.0  # of relays
+    polled: int = 2  # relays that a router is given
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +55,7 @@
         self.discoveries: list[Worker] = []
         self.links: list[Worker] = []
         self.hollows: list[Worker] = []
-        self.relays: list[Program] = []
+        self.relays: dict[str, Program] = {}
         self.wholes: list[Program] = []
         self.load: Worker | None = None
         self.doors: dict[str, Address] = {}  # of operators, by relay and whole router
@@ -126,11 +127,21 @@
             told: dict[str, Any] = {"listen": text_of(at), "name": name, "admin_addr": text_of(door)}
             extras = self.folder / f"{name}.toml"
             extras.write_text(toml("relay", told | {"upstreams": upstreams, "join_ms": self.options.join_ms}))
-            self.relays.append(self._program(name, None, extras))
+            self.start_relay(name)
             self.doors[name] = door
             found.append(Source(name, region, at))
         self.sources = found
 
+    def start_relay(self, name: str) -> None:
+        """A new life, which knows nothing."""
+        self.relays[name] = self._program(name, None, self.folder / f"{name}.toml")
+
+    def kill_relay(self, name: str) -> None:
+        relay = self.relays.pop(name)
+        self.processes.remove(relay)
+        relay.kill()
+        relay.wait()
+
     def _link(self, places: Sequence[tuple[str, str]]) -> None:
         """A route from each place to each source, spread over the processes by places."""
         count = self.topology.links if self.options.linked else 0
@@ -163,6 +174,11 @@
         """What its routers poll first."""
         return self.way(site.name, self.nearest(site.name, site.region)[0])
 
+    def polled_of(self, site: Site) -> list[Address]:
+        """The relays that its routers are given, in their order; none where they poll discovery."""
+        near = self.nearest(site.name, site.region) if self.options.relays else []
+        return [self.way(site.name, source) for source in near[: self.options.polled]]
+
     def _start_hollows(self) -> None:
         places = [(name, site) for site in self.sites for name in site.routers]
         voters = self._voters()
@@ -171,6 +187,7 @@
         lines = []
         for name, site in places:
             line: dict[str, Any] = {"name": name, "site": site.name, "channel": self.channel_of(site)}
+            line["sources"] = self.polled_of(site)
             if voters:
                 line["fleet"] = {"listen": addresses[name], "seeds": seeds, "voters": voters}
                 line["fleet"]["timings"] = self.timings
@@ -199,7 +216,11 @@
             config = self.folder / f"{name}.json"
             told = config_of(name, site.name, names, self.channel_of(site), front, door)
             config.write_text(json.dumps(told))
-            self.wholes.append(self._program(name, config, None))
+            polled, extras = [text_of(address) for address in self.polled_of(site)], None
+            if polled:
+                extras = self.folder / f"{name}.toml"
+                extras.write_text(toml("control", {"sources": polled}))
+            self.wholes.append(self._program(name, config, extras))
             self.doors[name] = door
             fronts.append(front)
         (self.load, _), *_ = self._workers("load", [{"fronts": fronts, "rate": self.options.load_rate}])
--- a/packages/fleet-scale/src/fleet_scale/slopes.py
+++ b/packages/fleet-scale/src/fleet_scale/slopes.py
@@ -32,7 +32,8 @@
     Measure("router: bytes/s in", lambda c: c.router_in),
     Measure("router: bytes/s out", lambda c: c.router_out),
     Measure("router: answers/s", lambda c: c.router_polls),
-    Measure("router: core, us/s", lambda c: 1e6 * c.router_core),
+    Measure("hollow router: core, us/s", lambda c: 1e6 * c.router_core),
+    Measure("whole router: core, us/s", lambda c: 1e6 * c.whole_core),
 )
 OF_MEMORY = Measure("router: KB, of its process's", lambda c: 1000.0 * c.router_mb)
 OF_DISCOVERY = (
@@ -95,16 +96,16 @@
     points = []
     sizes = [max(size * topology.routers // ROUTERS[-1], 4) for size in ROUTERS]
     for size in sizes:
-        with _stage(topology.sized(routers=size), mode, last_s) as stage:
+        with _stage(topology.sized(routers=size, relays=1), mode, last_s) as stage:
             points.append((float(size), _purged(stage, RATE, last_s)))
     named = (*[Measure(m.name, m.of, may_grow=False) for m in OF_ROUTER], *OF_DISCOVERY)
     named += OF_RELAY if mode != "direct" else ()
-    title = f"By routers, {RATE:.0f} purges a second, {mode}"
+    title = f"By routers, {RATE:.0f} purges a second, {mode if mode == 'direct' else 'one relay'}"
     _fitted(report, title, "routers", points, named)
 
 
 def _stage(topology: Topology, mode: str, last_s: float) -> Stage:
-    options = Options(relays=mode != "direct")
+    options = Options(relays=mode != "direct", whole=True)
     return Stage(topology, options, most_s=len(RATES) * (last_s + IN_STEP_S) + IN_STEP_S)
 
 
