--- a/Makefile
+++ b/Makefile
@@ -35,8 +35,10 @@
 sim: build
 	exec .venv/bin/python -m thornjunction.adapter
 
-scale: dev  # the whole: up to 1,200 hollow routers, some 40 minutes and 6 GB
-	$(VENV)/bin/python -m fleet_scale all --out docs/capacity/scale.md
+scale: dev  # the whole: up to 1,200 hollow routers, one stage after the other
+	$(VENV)/bin/python -m fleet_scale compare --out docs/capacity/compare.md
+	$(VENV)/bin/python -m fleet_scale slopes --out docs/capacity/slopes.md
+	$(VENV)/bin/python -m fleet_scale faults --out docs/capacity/faults.md
 
 scale-small: dev  # the form for CI: verdicts on counts and orders, under 90 s
 	$(VENV)/bin/python -m fleet_scale small --most-s 90 --out found/scale-small.md
