--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -10,6 +10,7 @@
 from unittest.mock import patch
 
 import pytest
+from standins import watch
 from standins.clients import FastCgiClient, fastcgi_request
 from standins.rig import reactor, until
 from standins.watch import HEAD, WatchRig, answer, fetched_from, half_close, hold, line, say
@@ -18,7 +19,6 @@
 
 from tests.standins import Rig
 from tests.test_watch import service_of
-from thornjunction.demo import watch
 from thornjunction.net import channel as channels
 from thornjunction.net import channel_link
 from thornjunction.net.catch_up import PIECE, SHORT, CatchUp
