--- a/benchmarks/catch_up.py
+++ b/benchmarks/catch_up.py
@@ -21,15 +21,15 @@
 from typing import Any
 
 from standins.clients import FastCgiClient, fastcgi_request
+from standins.config import config_at, free_port
+from standins.config import listen as listen_at
+from standins.plain import DemoShelf
 from standins.rig import until
 from standins.watch import ScriptedDiscovery, WatchStandIn, answer, hold
-from thornjunction.demo.standins import DemoShelf
 from twisted.internet import reactor, task
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
 
-from thornjunction.demo.start import config_at, free_port
-from thornjunction.demo.start import listen as listen_at
 from thornjunction.net.transport import Building
 
 ROOT = Path(__file__).resolve().parent.parent
