--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -19,8 +19,7 @@
 
 from control_rig.discovery import Discovery
 from control_rig.rig import free_addresses
-
-from thornjunction.demo.start import SETTINGS
+from standins.config import SETTINGS
 
 ROOT = Path(__file__).resolve().parent.parent
 SETTLE_S = 3.0
--- a/packages/control-rig/src/control_rig/rig.py
+++ b/packages/control-rig/src/control_rig/rig.py
@@ -12,12 +12,13 @@
 from socket import socket
 from typing import Any, Self, TypeVar
 
+from standins.clients import fastcgi_request
+from standins.config import SETTINGS
+
 from control_rig.discovery import Discovery
 from control_rig.link import Link
 from control_rig.process import Process
 from control_rig.shelf import Shelf
-from thornjunction.demo.clients import fastcgi_request
-from thornjunction.demo.start import SETTINGS
 from thornjunction.net.wire import fastcgi
 
 WITHIN_S = 30.0  # for a thing that has to happen; on an idle machine most take well under one
--- a/tests/test_relay_endpoint.py
+++ b/tests/test_relay_endpoint.py
@@ -7,11 +7,11 @@
 from typing import Any
 
 import pytest
+from standins.rig import until
 from twisted.internet import reactor as _reactor
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
-from thornjunction.demo.rig import until
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.relay import LOOK_MS, MAX_HEAD, PIECE, SILENT_MS, UNREAD_MS, Pollers
 from thornjunction.net.transport import Building
