--- a/packages/control-rig/src/control_rig/discovery.py
+++ b/packages/control-rig/src/control_rig/discovery.py
@@ -34,10 +34,13 @@
         self._seq += 1
         await self._tell([{"nodes": {"seq": self._seq, "whole": whole, "hosts": list(lines)}}])
 
-    async def purge(self, *names: int) -> None:
-        """A purge of each object, issued now."""
-        when = int(time.time() * 1000)
-        await self._tell([{"drop": {"id": f"{name:016x}", "when": when}} for name in names])
+    async def purge(self, *names: int, ago_ms: Sequence[float] = ()) -> None:
+        """A purge of each object, issued now, or so long ago each."""
+        now, agos = time.time() * 1000, ago_ms or [0.0] * len(names)
+        drops = [
+            {"id": f"{name:016x}", "when": int(now - ago)} for name, ago in zip(names, agos, strict=True)
+        ]
+        await self._tell([{"drop": drop} for drop in drops])
 
     async def restart(self, lines: Sequence[Line]) -> None:
         """New numbers from 1, and a new version of the list: what was told before is forgotten."""
--- a/packages/control-rig/src/control_rig/poller.py
+++ b/packages/control-rig/src/control_rig/poller.py
@@ -52,5 +52,5 @@
         for event in events:
             self.disorder += event["cursor"] <= self.cursor
             self.cursor = event["cursor"]
-            if "drop" in event:
+            if "id" in event.get("drop", ()):
                 self.purges.append(int(event["drop"]["id"], 16))
--- a/thornjunction/runtime/relay.py
+++ b/thornjunction/runtime/relay.py
@@ -49,6 +49,7 @@
 OWN_DESCRIPTORS = 64  # of the program, its upstream and its door
 END_MS = 500.0  # for the last answers to be read
 TIMES = SourceTimes(most_look_ms=2_000.0)  # relays are few: they notice soon that discovery is back
+SKEW_MS = 60_000.0  # by which discovery's clock may differ from this machine's
 AGAIN_MS = 1_000.0  # until a timer in which the machine failed is due once more
 
 log = get_logger(__name__)
@@ -144,7 +145,9 @@
             return self.feed(ListTold(command.cursor, command.seq, command.whole, hosts))
         key = f"{command.key:016x}" if command.key is not None else None
         family = command.group if key is None else -1
-        self.feed(PurgeTold(command.cursor, key, family, command.when_ms))
+        # Guards routers against an hour of purges that no cache holds any more, and the bound on those kept.
+        age_ms = max(time.time() * 1000.0 - command.when_ms - SKEW_MS, 0.0)
+        self.feed(PurgeTold(command.cursor, key, family, command.when_ms, age_ms))
 
     def _confirmed(self, age_ms: float, number: int) -> None:
         """All that was told so far, up to this number of the upstream, stood so, so long ago."""
