--- a/packages/control-rig/src/control_rig/discovery.py
+++ b/packages/control-rig/src/control_rig/discovery.py
@@ -37,10 +37,8 @@
     async def purge(self, *names: int, ago_ms: Sequence[float] = ()) -> None:
         """A purge of each object, issued now, or so long ago each."""
         now, agos = time.time() * 1000, ago_ms or [0.0] * len(names)
-        drops = [
-            {"id": f"{name:016x}", "when": int(now - ago)} for name, ago in zip(names, agos, strict=True)
-        ]
-        await self._tell([{"drop": drop} for drop in drops])
+        told = zip(names, agos, strict=True)
+        await self._tell([{"drop": {"id": f"{name:016x}", "when": int(now - ago)}} for name, ago in told])
 
     async def restart(self, lines: Sequence[Line]) -> None:
         """New numbers from 1, and a new version of the list: what was told before is forgotten."""
--- a/packages/control-rig/tests/test_control_behind.py
+++ b/packages/control-rig/tests/test_control_behind.py
@@ -12,6 +12,7 @@
 CHANGES = 1_100  # of the list: more than a relay's log keeps
 POLLERS = 100
 FIRST, BURST = 1_000, 1_500  # purges of one moment: more than 64 KB of events
+HOUR = 20_000  # purges of one: fewer than there are, and more than a relay keeps
 CUT_AT = 40_010  # bytes of them: within one
 
 
@@ -40,6 +41,27 @@
     play(scene)
 
 
+def test_a_relay_is_an_hour_behind(play: Play) -> None:
+    """Purges that no cache holds any more are not told on: else they would be too many to be told one by one,
+    and whole groups, or all, would be purged instead."""
+
+    async def scene(stage: Stage) -> None:
+        await stage.open()
+        for link in stage.ups:
+            link.cut()
+        ago_ms = [3_600_000.0 * (HOUR - number) / HOUR for number in range(HOUR)]
+        await stage.discovery.purge(*range(FIRST, FIRST + HOUR), ago_ms=ago_ms)
+        await stage.news()
+        for link in stage.ups:
+            link.heal()
+        await stage.known(*stage.relays)
+        for relay in stage.relays:
+            assert "purges-joined" not in relay.log()
+            assert 0 < int((await relay.status())["purges"]) < HOUR / 10
+
+    play(scene)
+
+
 def test_many_routers_come_back_at_once(play: Play) -> None:
     """All connections of a relay are reset in one moment; each router hears each event once, in order, and
     discovery notices nothing."""
