--- a/packages/control-rig/src/control_rig/process.py
+++ b/packages/control-rig/src/control_rig/process.py
@@ -29,6 +29,12 @@
         with (self.folder / "log").open("ab") as log:
             self._popen = subprocess.Popen(command, env=env, cwd=self.folder, stdout=log, stderr=log)
 
+    @property
+    def pid(self) -> int:
+        """Of the process that was started last."""
+        assert self._popen is not None
+        return self._popen.pid
+
     @property
     def code(self) -> int | None:
         """The exit code, negative for a signal; None while it runs."""
