--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -1,10 +1,10 @@
 """What an idle ``run`` costs against another commit's, in one run: both trees' routers side by side, each
 with a stand-in discovery of its own, in turns of who starts first.
 
-``PYTHONPATH=. python benchmarks/idle.py [COMMIT] [ROUNDS] [SECONDS]``, with the development packages installed,
-prints a table of memory (proportional set size) and processor time (user and system) of each, and their
-ratio.  A round lasts SECONDS (default 20) with nothing but idle polls, after 3 s for the start.  Loopback
-only; ends its processes."""
+``PYTHONPATH=. python benchmarks/idle.py [COMMIT] [ROUNDS] [SECONDS]``, with the development packages, prints
+a table of memory (proportional set size) and processor time (user and system) of each, and their ratio.  A
+round lasts SECONDS (default 20) with nothing but idle polls, after 3 s for the start.  Loopback only; ends
+its processes."""
 
 from __future__ import annotations
 
