--- a/packages/control-sources/src/control_sources/__init__.py
+++ b/packages/control-sources/src/control_sources/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from control_sources.follower import Follower
+from control_sources.follower import HOLD_MS, Follower
 from control_sources.seam import (
     Answer,
     Answered,
@@ -24,6 +24,7 @@
 from control_sources.times import SourceTimes
 
 __all__ = [
+    "HOLD_MS",
     "Answer",
     "Answered",
     "Ask",
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -60,6 +60,10 @@
         self._numbers, self._departed, self._renewing = NewNumbers(), Departed(), False
         self._dialling: Deferred[Any] | None = None
 
+    def figures(self) -> dict[str, int]:
+        """For the operators' door, beside the others."""
+        return {}
+
     def replay(self, known: Commands) -> None:
         """The events of the start; the channel goes on behind them."""
         self.apply(known)
--- a/thornjunction/runtime/service.py
+++ b/thornjunction/runtime/service.py
@@ -22,7 +22,6 @@
 from thornjunction.logs import get_logger
 from thornjunction.memory.budget import Budget
 from thornjunction.net.alarm import Alarm, core_ms, unix_to_core
-from thornjunction.net.channel import Channel
 from thornjunction.net.client_link import ClientTable
 from thornjunction.net.front_fastcgi import FastCgiLink
 from thornjunction.net.operators import OperatorsDoor, OperatorsLink
@@ -72,7 +71,7 @@
         self.counters, self.files = counters, Counter[str]()
         self.pool.ends = self.engine
         self.births = Births()
-        self.channel = Channel(reactor, config.channel, deadlines, core_ms, self.take, self._serve)
+        self.channel = parts.channel(extras, config, reactor, deadlines, self.take, self._serve)
         self.clients = ClientTable(max(config.sockets // 3, 1), budget)
         self.drain = Drain(self.clients, deadlines, core_ms, self.engine.hurry)
         self.shutdown = Shutdown(self.clients, self.drain, self.engine, deadlines, core_ms, self._stop)
@@ -181,7 +180,8 @@
         return encode_word(self.is_ready())
 
     def _figures(self) -> bytes:
-        return encode_figures(figures_of(self.counters, self.engine, self.pool, self.router, self.files))
+        told = figures_of(self.counters, self.engine, self.pool, self.router, self.files)
+        return encode_figures(told | self.channel.figures())
 
     def _drain_on(self) -> bytes:
         if not self.drain.active:
