--- a/packages/fleet-scale/src/fleet_scale/slopes.py
+++ b/packages/fleet-scale/src/fleet_scale/slopes.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
-from fleet_scale.child import RunError
+from fleet_scale.child import RunError, ask_all
 from fleet_scale.compare import RATE
 from fleet_scale.fit import fit
 from fleet_scale.measure import Cost, cost, sample
@@ -35,7 +35,8 @@
     Measure("hollow router: core, us/s", lambda c: 1e6 * c.router_core),
     Measure("whole router: core, us/s", lambda c: 1e6 * c.whole_core),
 )
-OF_MEMORY = Measure("router: KB, of its process's", lambda c: 1000.0 * c.router_mb)
+OF_MEMORY = Measure("hollow router: KB, of its process's own", lambda c: 1000.0 * c.router_mb)
+OF_DATAGRAMS = Measure("router: datagrams/s, both ways", lambda c: c.datagrams)
 OF_DISCOVERY = (
     Measure("discovery: polls/s", lambda c: c.discovery_polls),
     Measure("discovery: bytes/s out", lambda c: c.discovery_bytes),
@@ -50,10 +51,12 @@
 
 def slopes(report: Report, topology: Topology, modes: Sequence[str], last_s: float) -> None:
     """All series, one stage after the other."""
+    few = topology.sized(routers=max(topology.routers // 4, 4))
     for mode in modes:
-        _by_purges(report, topology, mode, last_s)
-        _by_shelfs(report, topology, mode, last_s)
+        _by_purges(report, few, mode, last_s)
+        _by_shelfs(report, few, mode, last_s)
         _by_routers(report, topology, mode, last_s)
+    _by_members(report, topology, last_s)
 
 
 def _by_purges(report: Report, topology: Topology, mode: str, last_s: float) -> None:
@@ -94,8 +97,7 @@
 
 def _by_routers(report: Report, topology: Topology, mode: str, last_s: float) -> None:
     points = []
-    sizes = [max(size * topology.routers // ROUTERS[-1], 4) for size in ROUTERS]
-    for size in sizes:
+    for size in _sizes(topology):
         with _stage(topology.sized(routers=size, relays=1), mode, last_s) as stage:
             points.append((float(size), _purged(stage, RATE, last_s)))
     named = (*[Measure(m.name, m.of, may_grow=False) for m in OF_ROUTER], *OF_DISCOVERY)
@@ -104,6 +106,31 @@
     _fitted(report, title, "routers", points, named)
 
 
+def _by_members(report: Report, topology: Topology, last_s: float) -> None:
+    """Nothing is told; all members know each other."""
+    points = []
+    for size in _sizes(topology):
+        sized = topology.sized(routers=size)
+        with Stage(sized, Options(members=True), most_s=last_s + 3 * IN_STEP_S) as stage:
+            names = [name for site in stage.sites for name in site.routers]
+            if stage.wait(lambda stage=stage, names=names: _all_alive(stage, names), 2 * IN_STEP_S) is None:
+                raise RunError(f"{size} members do not all know each other")
+            before = sample(stage)
+            stage.pause(last_s)
+            points.append((float(size), cost(before, sample(stage))))
+    named = [Measure(one.name, one.of, may_grow=False) for one in (OF_DATAGRAMS, OF_ROUTER[3], OF_MEMORY)]
+    _fitted(report, "By members, nothing told, polls idle", "members", points, named)
+
+
+def _all_alive(stage: Stage, names: Sequence[str]) -> bool:
+    replies = ask_all(stage.hollows, "members", names=list(names))
+    return sum(reply["states"].get("alive", 0) for reply in replies) == len(names) * (len(names) - 1)
+
+
+def _sizes(topology: Topology) -> list[int]:
+    return [max(size * topology.routers // ROUTERS[-1], 4) for size in ROUTERS]
+
+
 def _stage(topology: Topology, mode: str, last_s: float) -> Stage:
     options = Options(relays=mode != "direct", whole=True)
     return Stage(topology, options, most_s=len(RATES) * (last_s + IN_STEP_S) + IN_STEP_S)
