--- a/packages/fleet-scale/src/fleet_scale/setup.py
+++ b/packages/fleet-scale/src/fleet_scale/setup.py
@@ -201,11 +201,12 @@
         self.groups = dict(zip(self.hollows, names, strict=True))
 
     def _voters(self) -> list[str]:
-        """The first router of a site of each voter's region."""
+        """The first router of each voter's region; of a fleet so small that none has any, the first of all."""
         if not self.options.members:
             return []
         by_region = {site.region: site.routers for site in reversed(self.sites) if site.routers}
-        return [by_region[region][0] for region in dict.fromkeys(self.topology.voters)]
+        wanted = [region for region in dict.fromkeys(self.topology.voters) if region in by_region]
+        return [by_region[region][0] for region in wanted or list(by_region)[:1]]
 
     def _start_wholes(self) -> None:
         fronts = []
--- a/packages/fleet-scale/src/fleet_scale/slopes.py
+++ b/packages/fleet-scale/src/fleet_scale/slopes.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
+from functools import partial
 
 from fleet_scale.child import RunError, ask_all
 from fleet_scale.compare import RATE
@@ -113,7 +114,7 @@
         sized = topology.sized(routers=size)
         with Stage(sized, Options(members=True), most_s=last_s + 3 * IN_STEP_S) as stage:
             names = [name for site in stage.sites for name in site.routers]
-            if stage.wait(lambda stage=stage, names=names: _all_alive(stage, names), 2 * IN_STEP_S) is None:
+            if stage.wait(partial(_all_alive, stage, names), 2 * IN_STEP_S) is None:
                 raise RunError(f"{size} members do not all know each other")
             before = sample(stage)
             stage.pause(last_s)
@@ -124,7 +125,8 @@
 
 def _all_alive(stage: Stage, names: Sequence[str]) -> bool:
     replies = ask_all(stage.hollows, "members", names=list(names))
-    return sum(reply["states"].get("alive", 0) for reply in replies) == len(names) * (len(names) - 1)
+    alive = sum(int(reply["states"].get("alive", 0)) for reply in replies)
+    return alive == len(names) * (len(names) - 1)
 
 
 def _sizes(topology: Topology) -> list[int]:
