--- a/packages/fleet-scale/src/fleet_scale/setup.py
+++ b/packages/fleet-scale/src/fleet_scale/setup.py
@@ -201,7 +201,7 @@
         self.groups = dict(zip(self.hollows, names, strict=True))
 
     def _voters(self) -> list[str]:
-        """The first router of each voter's region; of a fleet so small that none has any, the first of all."""
+        """The first router of each voter's region; where none of them has any, the first of all."""
         if not self.options.members:
             return []
         by_region = {site.region: site.routers for site in reversed(self.sites) if site.routers}
--- a/packages/fleet-scale/src/fleet_scale/slopes.py
+++ b/packages/fleet-scale/src/fleet_scale/slopes.py
@@ -37,6 +37,7 @@
     Measure("whole router: core, us/s", lambda c: 1e6 * c.whole_core),
 )
 OF_MEMORY = Measure("hollow router: KB, of its process's own", lambda c: 1000.0 * c.router_mb)
+OF_ALL = Measure("hollow routers: KB of all processes' own", lambda c: 1000.0 * c.router_mb * c.routers)
 OF_DATAGRAMS = Measure("router: datagrams/s, both ways", lambda c: c.datagrams)
 OF_DISCOVERY = (
     Measure("discovery: polls/s", lambda c: c.discovery_polls),
@@ -101,7 +102,7 @@
     for size in _sizes(topology):
         with _stage(topology.sized(routers=size, relays=1), mode, last_s) as stage:
             points.append((float(size), _purged(stage, RATE, last_s)))
-    named = (*[Measure(m.name, m.of, may_grow=False) for m in OF_ROUTER], *OF_DISCOVERY)
+    named = (*[Measure(m.name, m.of, may_grow=False) for m in OF_ROUTER], OF_ALL, *OF_DISCOVERY)
     named += OF_RELAY if mode != "direct" else ()
     title = f"By routers, {RATE:.0f} purges a second, {mode if mode == 'direct' else 'one relay'}"
     _fitted(report, title, "routers", points, named)
@@ -119,7 +120,7 @@
             before = sample(stage)
             stage.pause(last_s)
             points.append((float(size), cost(before, sample(stage))))
-    named = [Measure(one.name, one.of, may_grow=False) for one in (OF_DATAGRAMS, OF_ROUTER[3], OF_MEMORY)]
+    named = [Measure(OF_DATAGRAMS.name, OF_DATAGRAMS.of, may_grow=False), OF_ROUTER[3], OF_ALL]
     _fitted(report, "By members, nothing told, polls idle", "members", points, named)
 
 
