--- a/packages/fleet-scale/src/fleet_scale/__main__.py
+++ b/packages/fleet-scale/src/fleet_scale/__main__.py
@@ -67,7 +67,7 @@
     parser.add_argument("--fault-routers", type=int, default=1200, help="hollow routers, of faults")
     parser.add_argument("--behind", type=int, default=HOUR, help="purges told while a region is cut")
     parser.add_argument("--restarts", type=int, default=360)
-    parser.add_argument("--most-s", type=float, default=600.0, help="of each stage; of the whole small form")
+    parser.add_argument("--most-s", type=float, default=900.0, help="of each stage; of the whole small form")
     return parser
 
 
--- a/packages/fleet-scale/src/fleet_scale/faults.py
+++ b/packages/fleet-scale/src/fleet_scale/faults.py
@@ -17,7 +17,7 @@
 from fleet_scale.stage import Stage
 from fleet_scale.topology import Topology
 
-IN_STEP_S, GONE_S = 60.0, 2.0  # until what came back is in step; how long it is gone
+IN_STEP_S, GONE_S = 120.0, 2.0  # until what came back is in step; how long it is gone
 HOUR_S, RESTARTS = 3600.0, 360
 RACK = 21 / 1200  # of the routers
 HEAD = (
