--- a/thornjunction/net/sourced_channel.py
+++ b/thornjunction/net/sourced_channel.py
@@ -149,11 +149,9 @@
         age_ms = commands.age_ms or 0.0
         self._feed_machine(Answered(self.address, age_ms, older=standing is Standing.OLDER))
 
-    def apply_piece(self, told: int | None, listed: list[Any]) -> Commands:
+    def apply_piece(self, head: Commands | None, listed: list[Any]) -> Commands:
         """Offer what is new of a long answer's piece; a list is put together until its end."""
         if not self._begun:
-            long = self.link.long if self.link is not None else None
-            head = long.head() if long is not None else None
             self._begin(head or Commands(-1, ()))
             self._begun = True
         piece = read_piece(listed, self.follower.cursor)
