--- a/tests/sources_rig.py
+++ b/tests/sources_rig.py
@@ -8,12 +8,12 @@
 from urllib.parse import parse_qs, urlsplit
 
 from control_sources import Sources
+from standins.rig import reactor, until
+from standins.watch import answer
 from twisted.internet import protocol
 from twisted.internet.defer import inlineCallbacks
 from twisted.python.failure import Failure
 
-from thornjunction.demo.rig import reactor, until
-from thornjunction.demo.watch import answer
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.sourced_channel import SourcedChannel
 from thornjunction.net.transport import Building, Transport
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -5,11 +5,11 @@
 
 from typing import Any
 
+from standins.rig import until
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
 from tests.sources_rig import ScriptedSource, SourcesRig
-from thornjunction.demo.rig import until
 
 WITHIN_MS = 2000.0
 
