--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -9,25 +9,8 @@
 
 from standins import watch
 from standins.clients import FastCgiClient, fastcgi_request
-<<<<<<< HEAD
-from standins.rig import reactor
-from standins.watch import (
-    HEAD,
-    WatchRig,
-    answer,
-    chunked,
-    half_close,
-    hold,
-    line,
-    purge,
-    purges,
-    say,
-    told,
-)
-=======
 from standins.rig import reactor, until
 from standins.watch import HEAD, WatchRig, answer, chunked, hold, purges, say, told
->>>>>>> 2706714d91376bd6d8a7834482294f6f224cc911
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
--- a/tests/test_new_numbers.py
+++ b/tests/test_new_numbers.py
@@ -4,20 +4,13 @@
 
 from typing import Any
 
-<<<<<<< HEAD
 from standins import watch
-=======
->>>>>>> 2706714d91376bd6d8a7834482294f6f224cc911
 from standins.rig import until
 from standins.watch import WatchRig, answer, fetched_from, line, purges
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
 from tests.test_watch import service_of
-<<<<<<< HEAD
-=======
-from standins import watch
->>>>>>> 2706714d91376bd6d8a7834482294f6f224cc911
 from thornjunction.net.wire.commands import Commands, ListChange
 
 SOME = 3000  # events whose answer is long
