--- a/tests/test_new_numbers.py
+++ b/tests/test_new_numbers.py
@@ -4,13 +4,13 @@
 
 from typing import Any
 
+from standins import watch
 from standins.rig import until
 from standins.watch import WatchRig, answer, fetched_from, line, purges
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
 from tests.test_watch import service_of
-from thornjunction.demo import watch
 from thornjunction.net.wire.commands import Commands, ListChange
 
 SOME = 3000  # events whose answer is long
