--- a/packages/control-rig/src/control_rig/rig.py
+++ b/packages/control-rig/src/control_rig/rig.py
@@ -12,12 +12,13 @@
 from socket import socket
 from typing import Any, Self, TypeVar
 
+from standins.clients import fastcgi_request
+from standins.config import SETTINGS
+
 from control_rig.discovery import Discovery
 from control_rig.link import Link
 from control_rig.process import Process
 from control_rig.shelf import Shelf
-from thornjunction.demo.clients import fastcgi_request
-from thornjunction.demo.start import SETTINGS
 from thornjunction.net.wire import fastcgi
 
 WITHIN_S = 30.0  # for a thing that has to happen; on an idle machine most take well under one
@@ -96,6 +97,12 @@
         told |= {"settings": SETTINGS, "limits": {"sockets": 90}, "known": {"cursor": 0, "cmds": []}}
         (folder / "config.json").write_text(json.dumps(told))
 
+    def settle_plain(self, channel: str) -> None:
+        """Nothing of the operators': it polls what the platform's file names."""
+        told = json.loads((self.folder / "config.json").read_text())
+        (self.folder / "config.json").write_text(json.dumps(told | {"channel": channel}))
+        (self.folder / "extras.toml").write_text("")
+
     def settle(self, sources: Sequence[str]) -> None:
         """Write its operators' file."""
         _write_toml(self.folder, "control", {"name": self.name, "sources": list(sources)})
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -6,13 +6,13 @@
 import json
 from typing import Any
 
+from standins.rig import reactor, until
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
 from tests.sources_rig import ScriptedSource, SourcesRig
 from tests.test_core import CONFIG
 from thornjunction.core.counters import Counters
-from thornjunction.demo.rig import reactor, until
 from thornjunction.net.channel import Channel
 from thornjunction.runtime.config import ConfigError, parse_config
 from thornjunction.runtime.control_settings import ControlSettings
--- a/thornjunction/net/catch_up.py
+++ b/thornjunction/net/catch_up.py
@@ -60,10 +60,6 @@
         head = self._answer.end()
         return Commands(head.cursor, (), tuple(self._faults), head.epoch, head.age_ms)
 
-    def head(self) -> Commands | None:
-        """What the answer said before its events; None where its cursor has not come."""
-        return read_head(self._answer.told) if self._told() is not None else None
-
     def drop(self) -> None:
         self._answer.drop()
         self._waiting.clear()
