--- a/tests/sources_rig.py
+++ b/tests/sources_rig.py
@@ -133,10 +133,10 @@
         self.say(link, events)
 
     def say(self, link: SourceLink, events: list[dict[str, Any]]) -> None:
-        told: dict[str, Any] = {"cursor": self.number, "cmds": events}
+        head: dict[str, Any] = {"cursor": self.number}
         if self.epoch:
-            told |= {"epoch": self.epoch, "age": self.age_ms}
-        data = answer(told, 200 if self.way == "up" else int(self.way))
+            head |= {"epoch": self.epoch, "age": self.age_ms}
+        data = answer(head | {"cmds": events}, 200 if self.way == "up" else int(self.way))
         if self.cut:
             self.cut = False
             link.transport.write(data[: len(data) // 2])
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -258,6 +258,7 @@
         extras = Extras(control=ControlSettings("r7", (source.address,)))
         service = Service(config, extras, reactor, Counters(), lambda: config)
         self.addCleanup(service.alarm.stop)
+        service.ready = True  # no fronts are opened
         service.channel.start()
         yield until(lambda: len(source.polls) == 2)
         self.assertEqual((source.polls[1]["name"], source.polls[1]["epoch"]), ("r7", "A"))
