--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,9 @@
 	@left="$$(git status --porcelain | grep -v '^[AMDR]  ' || true)"; \
 	if [ -n "$$left" ]; then echo "the tree is not clean:"; echo "$$left"; exit 1; fi
 
-seeds: dev  # membership and shares under drawn faults; see packages/fleet-sim
+seeds: dev  # under drawn faults: membership and shares (packages/fleet-sim), relays (control-sim)
 	$(VENV)/bin/python -m fleet_sim --seeds 2000 --jobs 2
+	$(VENV)/bin/python -m control_sim --seeds 2000 --jobs 2
 
 check: lint test seeds tidy
 
--- a/benchmarks/relay_core.py
+++ b/benchmarks/relay_core.py
@@ -2,8 +2,8 @@
 
 python benchmarks/relay_core.py [--routers 100 300 600 1200] [--seconds 20] [--purges 34] [--shelfs 440]
 
-Each router polls again 2 ms after its answer.  Memory is what tracemalloc counts, in a run of its own; processor
-time includes the collector's.  The journal of runs is the caller's."""
+Each router polls again 2 ms after its answer.  Memory is what tracemalloc counts, in a run of its own.
+Processor time includes the collector's."""
 
 from __future__ import annotations
 
--- a/packages/control-relay/tests/test_relay_answers.py
+++ b/packages/control-relay/tests/test_relay_answers.py
@@ -108,7 +108,8 @@
     for number in range(20):
         relay.purge(f"{number:x}")
     relay.wait(150)
-    seen, resume, whole = [], 0, 0
+    seen: list[int] = []
+    resume = whole = 0
     while (told := relay.poll(1, resume, "x")) is not None and len(seen) < 100:
         size = sum(len(json.dumps(command)) for command in told["cmds"])
         assert size <= 330 or len(told["cmds"]) == 1
@@ -128,7 +129,8 @@
     first = relay.poll(1, 0, "x")
     assert numbers(first) == [BASE + 1]
     for poller, name in ((1, "x"), (2, ""), (3, "new")):
-        resume, hosts = last(first), []
+        resume = last(first)
+        hosts: list[tuple[bool, int]] = []
         while (told := relay.poll(poller, resume, name)) is not None and len(hosts) < 9:
             hosts += [(c["nodes"]["whole"], len(c["nodes"]["hosts"])) for c in told["cmds"] if "nodes" in c]
             resume = last(told)
--- a/packages/control-relay/tests/test_relay_confirms.py
+++ b/packages/control-relay/tests/test_relay_confirms.py
@@ -89,6 +89,7 @@
     relay.wait(60_000)
     (row,) = relay.relay.roster(relay.now)
     assert (row.name, row.state) == ("y", "cut-off")
+    relay.follow(1, head + 1, "x")
     assert relay.relay.status(relay.now).done == BASE - 1
     assert relay.relay.handed_up(relay.now) == HandedUp(0, 1, ("y",))
     relay.follow(2, 0, "y")
