--- a/packages/control-relay/tests/test_relay_confirms.py
+++ b/packages/control-relay/tests/test_relay_confirms.py
@@ -256,3 +256,30 @@
     relay.poll(2, head, "y")
     relay.poll(3, head, "z")
     assert relay.refused == {3: "polls-full"}
+
+
+def test_what_is_superseded_is_told_until_that_goes_out_which_supersedes_it() -> None:
+    relay = ready()
+    head = relay.follow(1, 0, "x")
+    relay.purge("a1", 1.0)
+    relay.wait(150)  # an answer that is lost
+    relay.purge("a1", 2.0)
+    told = relay.poll(1, head, "x", block_ms=0)
+    assert last(told) == head + 1
+    relay.wait(150)
+    assert last(relay.poll(1, head, "x")) == head + 2
+
+
+def test_who_begins_anew_has_to_confirm_again_what_was_not_done_yet() -> None:
+    relay = ready()
+    head = relay.follow(1, 0, "x")
+    relay.follow(2, 0, "y")
+    relay.purge("a1")
+    relay.wait(150)
+    relay.poll(1, head + 1, "x")
+    relay.poll(3, 0, "x", epoch="")  # another life, whose answer is lost
+    relay.poll(2, head + 1, "y")
+    assert relay.relay.status(relay.now).done == head
+    assert relay.relay.purges(relay.now)[0].names == ("x",)
+    relay.follow(3, 0, "x")
+    assert relay.relay.status(relay.now).done == head + 1
