--- a/packages/control-relay/src/control_relay/machine.py
+++ b/packages/control-relay/src/control_relay/machine.py
@@ -115,7 +115,7 @@
         return actions + self._after_event(now, event.number)
 
     def _after_event(self, now: float, upstream: int) -> list[RelayAction]:
-        self.marks.taken(self.log.head, whole_number(upstream))
+        self.marks.taken(whole_number(upstream))
         actions: list[RelayAction] = []
         if self.log.crowded:
             actions = self._flush(now)
@@ -131,9 +131,8 @@
             self.as_of = max(self.as_of, now - age_ms)
         if not self.log.pending:  # else what goes out now lacks what waits, and is older
             self._told_as_of = self.as_of
-        if event.number:
-            self.marks.taken(self.log.head, whole_number(event.number))
-            self._advance(now)
+        self.marks.all_taken(self.log.head, whole_number(event.number))
+        self._advance(now)
         if self.ready or not self.state.shelves.number or self.as_of == -math.inf:
             return []
         self.ready = True
--- a/packages/control-relay/src/control_relay/marks.py
+++ b/packages/control-relay/src/control_relay/marks.py
@@ -29,19 +29,25 @@
     def __init__(self, done: int, recent: int) -> None:
         self.done, self.upstream_done = done, 0
         self.records: deque[Record] = deque(maxlen=max(1, recent))
+        self._last_taken = 0
         self._upstream: deque[tuple[int, int]] = deque()  # done here up to, means done there up to
 
     def attached(self) -> None:
         """The upstream's numbers start anew."""
-        self.upstream_done = 0
+        self.upstream_done = self._last_taken = 0
         self._upstream.clear()
 
-    def taken(self, own: int, upstream: int) -> None:
-        """An event of the upstream stands under the relay's numbers up to ``own``."""
-        last = upstream
-        while self._upstream and (self._upstream[-1][1] >= upstream or self._upstream[-1][0] == own):
-            last = max(last, self._upstream.pop()[1])  # Guards an event that comes after later ones
-        self._upstream.append((own, last))
+    def taken(self, upstream: int) -> None:
+        """An event of the upstream was taken.  Guards what is handed up: those of one answer need not come
+        in the order of their numbers, so none counts before ``all_taken``."""
+        self._last_taken = max(self._last_taken, upstream)
+
+    def all_taken(self, own: int, upstream: int) -> None:
+        """All of the upstream's up to this number (0: up to the last that came) stands under the relay's
+        numbers up to ``own``."""
+        if self._upstream and self._upstream[-1][0] == own:
+            self._upstream.pop()
+        self._upstream.append((own, upstream or self._last_taken))
         if len(self._upstream) > MOST_MARKS:
             self._upstream = deque(list(self._upstream)[1::2])
 
--- a/packages/control-relay/src/control_relay/seam.py
+++ b/packages/control-relay/src/control_relay/seam.py
@@ -48,8 +48,8 @@
 class Confirmed:
     """An upstream's answer has come whole: all that was told so far stood so ``age_ms`` ago, or later.  The
     first one after a whole list makes the relay ready.  ``number`` is the upstream's up to which all was
-    taken or passed over, 0 where that is not known: without it, what was passed over is never handed up as
-    done."""
+    taken or passed over; 0 where that is not known: then up to the last event that came.  Only what it covers
+    is ever handed up as done."""
 
     age_ms: float
     number: int = 0
--- a/packages/control-relay/tests/test_relay_confirms.py
+++ b/packages/control-relay/tests/test_relay_confirms.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from control_relay import Dismissed, HandedUp, PollerGone
+from control_relay import Confirmed, Dismissed, HandedUp, ListTold, PollerGone, PurgeTold
 from relay_driver import BASE, Driver, host, last
 
 
@@ -188,18 +188,19 @@
     assert relay.relay.handed_up(relay.now) == HandedUp(3, 0, ())
 
 
-def test_an_upstream_event_that_comes_after_later_ones_is_not_done_before_it() -> None:
+def test_nothing_of_an_answer_is_handed_up_before_all_of_it_was_taken() -> None:
     relay = ready()
-    head = relay.follow(1, 0, "x")
-    relay._upstream = 9
-    relay.list(host("c"), seq=2)
+    relay.do(ListTold(10, 2, True, (host("c"),)))
     relay.wait(150)
-    relay._upstream = 4
-    relay.purge("a1")
-    relay.poll(1, head + 1, "x")
+    assert relay.relay.status(relay.now).done == BASE + 1  # nobody polls here: all that was told is done
+    assert relay.relay.handed_up(relay.now).done == 1
+    head = relay.follow(1, 0, "x")
+    relay.do(PurgeTold(5, "a1", -1, 1.0))
+    relay.do(Confirmed(0.0, 10))
     assert relay.relay.handed_up(relay.now).done == 1
     relay.wait(150)
-    relay.poll(1, head + 2, "x")
+    assert relay.relay.handed_up(relay.now) == HandedUp(1, 1, ("x",))
+    relay.poll(1, head + 1, "x")
     assert relay.relay.handed_up(relay.now).done == 10
 
 
