--- a/packages/control-sim/tests/test_control_sim.py
+++ b/packages/control-sim/tests/test_control_sim.py
@@ -6,7 +6,7 @@
 from control_sim import KINDS, NAMES, outcome_of, plan, subject
 from control_sim.command import main
 from control_sim.plans import KillAll
-from flaws import FLAWS
+from flaws import FLAWS, found
 from fleet_sim import Plan, run, shrink
 from fleet_sim.faults import Kill, Noise, Pause
 
@@ -68,8 +68,7 @@
     [("the floor of the log is ignored", "mixed"), ("the epoch of a poll is ignored", "lost")],
 )
 def test_rarer_flaws_are_found_by_more_seeds(flaw: str, check: str) -> None:
-    with FLAWS[flaw]():
-        assert first_failure(SEEDS) in (check, "early")
+    assert found(flaw, 250)[check] > 0
 
 
 def test_a_failure_is_shrunk_to_the_faults_that_it_needs() -> None:
