--- a/packages/control-relay/tests/test_relay_confirms.py
+++ b/packages/control-relay/tests/test_relay_confirms.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from control_relay import Dismissed, HandedUp, PollerGone
+from control_relay import Confirmed, Dismissed, HandedUp, ListTold, PollerGone, PurgeTold
 from relay_driver import BASE, Driver, host, last
 
 
@@ -89,6 +89,7 @@
     relay.wait(60_000)
     (row,) = relay.relay.roster(relay.now)
     assert (row.name, row.state) == ("y", "cut-off")
+    relay.follow(1, head + 1, "x")
     assert relay.relay.status(relay.now).done == BASE - 1
     assert relay.relay.handed_up(relay.now) == HandedUp(0, 1, ("y",))
     relay.follow(2, 0, "y")
@@ -187,18 +188,19 @@
     assert relay.relay.handed_up(relay.now) == HandedUp(3, 0, ())
 
 
-def test_an_upstream_event_that_comes_after_later_ones_is_not_done_before_it() -> None:
+def test_nothing_of_an_answer_is_handed_up_before_all_of_it_was_taken() -> None:
     relay = ready()
-    head = relay.follow(1, 0, "x")
-    relay._upstream = 9
-    relay.list(host("c"), seq=2)
+    relay.do(ListTold(10, 2, True, (host("c"),)))
     relay.wait(150)
-    relay._upstream = 4
-    relay.purge("a1")
-    relay.poll(1, head + 1, "x")
+    assert relay.relay.status(relay.now).done == BASE + 1  # nobody polls here: all that was told is done
+    assert relay.relay.handed_up(relay.now).done == 1
+    head = relay.follow(1, 0, "x")
+    relay.do(PurgeTold(5, "a1", -1, 1.0))
+    relay.do(Confirmed(0.0, 10))
     assert relay.relay.handed_up(relay.now).done == 1
     relay.wait(150)
-    relay.poll(1, head + 2, "x")
+    assert relay.relay.handed_up(relay.now) == HandedUp(1, 1, ("x",))
+    relay.poll(1, head + 1, "x")
     assert relay.relay.handed_up(relay.now).done == 10
 
 
@@ -255,3 +257,30 @@
     relay.poll(2, head, "y")
     relay.poll(3, head, "z")
     assert relay.refused == {3: "polls-full"}
+
+
+def test_what_is_superseded_is_told_until_that_goes_out_which_supersedes_it() -> None:
+    relay = ready()
+    head = relay.follow(1, 0, "x")
+    relay.purge("a1", 1.0)
+    relay.wait(150)  # an answer that is lost
+    relay.purge("a1", 2.0)
+    told = relay.poll(1, head, "x", block_ms=0)
+    assert last(told) == head + 1
+    relay.wait(150)
+    assert last(relay.poll(1, head, "x")) == head + 2
+
+
+def test_who_begins_anew_has_to_confirm_again_what_was_not_done_yet() -> None:
+    relay = ready()
+    head = relay.follow(1, 0, "x")
+    relay.follow(2, 0, "y")
+    relay.purge("a1")
+    relay.wait(150)
+    relay.poll(1, head + 1, "x")
+    relay.poll(3, 0, "x", epoch="")  # another life, whose answer is lost
+    relay.poll(2, head + 1, "y")
+    assert relay.relay.status(relay.now).done == head
+    assert relay.relay.purges(relay.now)[0].names == ("x",)
+    relay.follow(3, 0, "x")
+    assert relay.relay.status(relay.now).done == head + 1
