Catching up: why the watch's huge answer is now one byte over 64 MB

Cause: an answer of over 1 MB ended in http-body-size and the same poll was repeated for ever, so a router some minutes behind never came back and was deaf to drains and purges.

--- a/thornjunction/demo/watch.py
+++ b/thornjunction/demo/watch.py
@@ -91,7 +91,7 @@
     "500": say(answer({"cursor": 9, "cmds": []}, 500)),
     "404": say(answer({}, 404)),
     "endless headers": say(HEAD + b"a: b\r\n" * 4000),
-    "huge": say(HEAD + b"Content-Length: 64000001\r\n\r\n"),
+    "huge": say(HEAD + b"Content-Length: 64000001\r\n\r\n"),  # a byte over the bound of a long answer
     "huge in chunks": say(HEAD + b"Transfer-Encoding: chunked\r\n\r\n3d09001\r\n"),
     "no chunk": say(HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
     "no length": say(HEAD + b"\r\n" + GOOD.partition(b"\r\n\r\n")[2]),
