--- a/packages/standins/src/standins/watch.py
+++ b/packages/standins/src/standins/watch.py
@@ -129,7 +129,7 @@
 
     transport: Transport  # type: ignore[assignment]
 
-    def __init__(self, discovery: ScriptedDiscovery) -> None:
+    def __init__(self, discovery: Any) -> None:
         self.discovery, self.reader, self.ended = discovery, http1.RequestReader(0), ""
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -138,8 +138,10 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         for request in self.reader.feed(data):
-            query = parse_qs(urlsplit(request.target).query)
-            self.discovery.polled(self, int(query["resume"][0]), int(query["block"][0]))
+            self.heard({key: values[0] for key, values in parse_qs(urlsplit(request.target).query).items()})
+
+    def heard(self, query: dict[str, str]) -> None:
+        self.discovery.polled(self, int(query["resume"]), int(query["block"]))
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         self.ended = type(reason.value).__name__
@@ -187,11 +189,27 @@
         self.release()
 
 
-class WatchRig:
+class HandClock:
+    """A clock that is turned by hand, and the deadlines by it."""
+
+    def __init__(self) -> None:
+        self.now, self.deadlines = 1000.0, Deadlines()
+
+    def pass_time(self, ms: float) -> None:
+        """Run what falls due, each at its time, with no turn of the reactor between."""
+        end = self.now + ms
+        while (due := self.deadlines.next_due()) <= end:
+            self.now = max(self.now, due)
+            self.deadlines.run_due(self.now)
+        self.now = end
+
+
+class WatchRig(HandClock):
     """The real channel at a scripted discovery."""
 
     def __init__(self) -> None:
-        self.now, self.taken, self.deadlines = 1000.0, list[Command](), Deadlines()
+        super().__init__()
+        self.taken = list[Command]()
         self.discovery = ScriptedDiscovery()
         self.channel = self.build(self.discovery.address)
 
@@ -210,14 +228,6 @@
         self.discovery.script[:] = script
         self.build(self.discovery.address).start()
 
-    def pass_time(self, ms: float) -> None:
-        """Run what falls due, each at its time, with no turn of the reactor between."""
-        end = self.now + ms
-        while (due := self.deadlines.next_due()) <= end:
-            self.now = max(self.now, due)
-            self.deadlines.run_due(self.now)
-        self.now = end
-
     def come(self, holds: Callable[[], Any]) -> Any:
         """Until something holds, with what is due at this moment run; no time passes."""
         return until(lambda: (self.deadlines.run_due(self.now), holds())[1])  # type: ignore[func-returns-value]
--- a/tests/sources_rig.py
+++ b/tests/sources_rig.py
@@ -5,41 +5,33 @@
 
 from collections.abc import Callable
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
 from control_sources import Sources
 from standins.rig import reactor, until
-from standins.watch import answer
+from standins.watch import HandClock, WatchStandIn, answer
 from twisted.internet import protocol
 from twisted.internet.defer import inlineCallbacks
 from twisted.python.failure import Failure
 
-from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.sourced_channel import SourcedChannel
-from thornjunction.net.transport import Building, Transport
-from thornjunction.net.wire import http1
+from thornjunction.net.transport import Building
 from thornjunction.net.wire.commands import Command, ListChange
 
 Query = dict[str, str]
 
 
-class SourceLink(protocol.Protocol):
-    transport: Transport  # type: ignore[assignment]
+class SourceLink(WatchStandIn):
+    """One connection of a source; its polls have more words."""
 
     def __init__(self, source: ScriptedSource) -> None:
-        self.source, self.reader, self.ended = source, http1.RequestReader(0), ""
+        super().__init__(source)
+        self.source = source
 
-    def connectionMade(self) -> None:  # noqa: N802
-        self.transport.setTcpNoDelay(True)
-        self.source.links.append(self)
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        for request in self.reader.feed(data):
-            query = {key: values[0] for key, values in parse_qs(urlsplit(request.target).query).items()}
-            self.source.polled(self, query)
+    def heard(self, query: Query) -> None:
+        self.source.asked(self, query)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
-        self.ended = type(reason.value).__name__
+        super().connectionLost(reason)
         if self.source.held is not None and self.source.held[0] is self:
             self.source.held = None
 
@@ -108,7 +100,7 @@
         events = [{"cursor": self.listed_at, "nodes": nodes}, *self.purges]
         return sorted(events, key=lambda event: int(event["cursor"]))
 
-    def polled(self, link: SourceLink, query: Query) -> None:
+    def asked(self, link: SourceLink, query: Query) -> None:
         if query.get("as") == "probe":
             self.probes.append(query)
             if self.way != "hung":
@@ -145,11 +137,12 @@
             link.transport.write(data)
 
 
-class SourcesRig:
+class SourcesRig(HandClock):
     """The real channel at scripted sources ``a``, ``b``, and so on."""
 
     def __init__(self, *epochs: str) -> None:
-        self.now, self.deadlines = 1e6, Deadlines()
+        super().__init__()
+        self.now = 1e6
         self.sources = [ScriptedSource(epoch) for epoch in epochs]
         self.taken: list[Command] = []
         self.confirmed: list[tuple[float, int]] = []
@@ -170,14 +163,6 @@
             lambda age_ms, number: self.confirmed.append((age_ms, number)),
         )
 
-    def pass_time(self, ms: float) -> None:
-        """Run what falls due, each at its time, with no turn of the reactor between."""
-        end = self.now + ms
-        while (due := self.deadlines.next_due()) <= end:
-            self.now = max(self.now, due)
-            self.deadlines.run_due(self.now)
-        self.now = end
-
     @inlineCallbacks
     def asked(self, source: ScriptedSource, times: int = 1) -> Any:
         """Until this source holds a poll, after so many polls."""
