--- a/packages/control-sources/tests/test_follower.py
+++ b/packages/control-sources/tests/test_follower.py
@@ -90,19 +90,15 @@
     assert len(set(play.held.applied)) == len(play.held.applied)
 
 
-@given(STEPS)
-@fixed
-def test_a_follower_holds_no_more_than_it_may(steps: list[tuple[str, Any]]) -> None:
-    play = Play(down_ms=0.0)
-    play.held.follower.purges.most = 2
-    play.held.follower.fold.most = 2
-    for what, how in steps:
-        try:
-            play.step(what, how)
-        except AssertionError:  # purges that were forgotten are told again: not what this is about
-            play.held.purged.clear()
-            play.held.rank = -1
-        assert len(play.held.follower.purges) <= 2 and len(play.held.follower.fold.lines) <= 2
+def test_a_follower_holds_no_more_than_it_may() -> None:
+    follower = Follower(hold_ms=1000.0, most_purges=50, most_lines=50)
+    for at in range(500):
+        events = PurgeEvent(2 * at + 1, at, 1.0), whole(2 * at + 2, 5, **{f"s{n}": n for n in range(at)})
+        ask(follower, 1.0 + at, Answer("a" if at % 2 else "b", 0.0, 10_000, events))
+        assert len(follower.purges) <= 50 and len(follower.fold.lines) <= 50
+    for at in range(60):
+        ask(follower, 9000.0 + 100.0 * at, Answer("c", 0.0, at + 1, (PurgeEvent(at + 1, at, 1.0),)))
+    assert len(follower.purges) <= 11 and follower.fold.overfull > 0
 
 
 def whole(number: int, seq: int | None, **lines: Any) -> ListEvent:
@@ -269,7 +265,7 @@
     for last in (3, 3, 10, 3, 3, 10):
         ask(follower, now, Answer("a", 0.0, last))
         now += BACK_MS
-    assert follower.asked(now) == Position("a", 10)
+        assert follower.asked(now) == Position("a", 10)
 
 
 def test_a_list_that_is_known_at_the_start_gives_way_only_to_what_is_not_older() -> None:
--- a/packages/control-sources/tests/test_sources_choice.py
+++ b/packages/control-sources/tests/test_sources_choice.py
@@ -63,7 +63,7 @@
     world = World(2)
     world.run(5000.0)
     for at in range(2):
-        world.stick(at, world.now - 300.0 * at)
+        world.stick(at, world.now - 300.0 * (1 - at))
     world.run(5.0 * MINUTE_MS)
     assert [at for _, at, _ in world.asked] == [0]
 
@@ -79,20 +79,20 @@
 
 def test_the_first_is_gone_back_to_after_it_has_answered_well_and_not_by_all_at_once() -> None:
     back = []
-    for seed in range(100):
+    for seed in range(200):
         world = World(2, seed=seed)
         world.run(5000.0)
         world.way(0, "dead")
-        world.run(30_000.0)
+        world.run(1000.0)
         world.way(0, "up")
         up_at = world.now
-        world.run(TIMES.most_look_ms + 2.0 * TIMES.good_ms + TIMES.spread_ms)
+        world.run(2.0 * TIMES.good_ms + TIMES.spread_ms)
         assert [at for _, at, _ in world.asked] == [0, 1, 0], world.asked
         assert world.asked[-1][2] == "back" and world.machine.moves == 2
         back.append(world.asked[-1][0] - up_at)
     assert min(back) >= TIMES.good_ms
     most = max(sum(start <= at < start + 1000.0 for at in back) for start in back)
-    assert most <= 20, f"{most} of 100 within one second"
+    assert most <= 40, f"{most} of 200 within one second"
 
 
 def test_a_break_in_the_answers_of_an_earlier_source_counts_from_the_start() -> None:
@@ -104,7 +104,7 @@
         world.run(0.6 * TIMES.good_ms)
         world.way(0, "dead")
         world.run(2.0 * TIMES.most_look_ms)
-    assert world.current() == 1
+    assert [at for _, at, _ in world.asked] == [0, 1]
 
 
 def test_a_source_that_comes_and_goes_is_asked_less_and_less() -> None:
@@ -164,6 +164,15 @@
     assert world.current() == 1
 
 
+def test_an_upstream_that_fails_once_is_asked_again_before_a_sibling() -> None:
+    world = World(1, siblings=1)
+    world.run(5000.0)
+    world.way(0, "dead")
+    world.way(0, "up")
+    world.run(WITHIN_MS)
+    assert [at for _, at, _ in world.asked] == [0, 0]
+
+
 def test_a_process_that_was_late_itself_reads_before_it_judges() -> None:
     machine, source = Sources([("a", 1), ("b", 1)], lambda: 0.5), ("a", 1)
     machine.handle(0.0, Started())
