--- a/tests/sources_rig.py
+++ b/tests/sources_rig.py
@@ -43,6 +43,7 @@
 
     def __init__(self, epoch: str) -> None:
         self.epoch, self.age_ms, self.way, self.cut = epoch, 0, "up", False
+        self.slow, self.unsaid, self.head_last = False, b"", False
         self.number = 0
         self.seq, self.state = 0, dict[str, dict[str, Any]]()
         self.listed_at = 0
@@ -128,8 +129,11 @@
         head: dict[str, Any] = {"cursor": self.number}
         if self.epoch:
             head |= {"epoch": self.epoch, "age": self.age_ms}
-        data = answer(head | {"cmds": events}, 200 if self.way == "up" else int(self.way))
-        if self.cut:
+        told = {"cmds": events} | head if self.head_last else head | {"cmds": events}
+        data = answer(told, 200 if self.way == "up" else int(self.way))
+        if self.slow:
+            self.unsaid = data
+        elif self.cut:
             self.cut = False
             link.transport.write(data[: len(data) // 2])
             link.transport.abortConnection()
@@ -168,6 +172,15 @@
         """Until this source holds a poll, after so many polls."""
         yield until(lambda: len(source.polls) >= times and source.held is not None)
 
+    def turned(self, holds: Callable[[], bool]) -> Any:
+        """Until something holds, with what falls due now: pieces of a long answer take turns."""
+
+        def after_a_turn() -> bool:
+            self.pass_time(0.0)
+            return holds()
+
+        return until(after_a_turn)
+
     @inlineCallbacks
     def live(self, ms: float, step_ms: float = 400.0) -> Any:
         """Let time pass while the sources that are up answer the polls they hold, and all probes end."""
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -111,6 +111,7 @@
         yield rig.asked(c, 2)
         self.assertEqual((rig.now, len(b.probes), b.polls), (1e6, 1, []))
         yield until(lambda: len(a.probes) == 1)
+        self.assertEqual(len(a.polls), 2)  # none after it was left
 
     @inlineCallbacks
     def test_where_all_are_behind_the_youngest_is_taken(self) -> Any:
@@ -241,15 +242,43 @@
         rig, (a, b) = yield self.begun("A", "B")
         b.list_(9, **{f"shelf-of-a-long-name-{at}": "active" for at in range(3000)}).purge(2, 20)
         yield a.kill()
-
-        def turned() -> bool:
-            rig.pass_time(0.0)
-            return len(b.polls) > 1
-
-        yield until(turned)
+        yield rig.turned(lambda: len(b.polls) > 1)
         self.assertEqual((len(rig.listed()), rig.purged()), (3002, [1, 2]))
         self.assertEqual((rig.channel.follower.seq, rig.channel.sources.moves), (9, 1))
 
+    @inlineCallbacks
+    def test_a_long_list_that_comes_slowly_is_no_silence(self) -> Any:
+        rig, (a, b) = yield self.begun("A", "B")
+        b.list_(9, **{f"shelf-{at:040}": "active" for at in range(4000)})
+        b.slow = True
+        yield a.kill()
+        yield until(lambda: b.unsaid)
+        b.slow, link, most = False, rig.channel.link, 66_000
+        for start in range(0, len(b.unsaid), most):
+            rig.pass_time(400.0)
+            b.links[-1].transport.write(b.unsaid[start : start + most])
+            due = rig.now + link.channel.silent_ms  # of what comes next, where this was progress
+            yield rig.turned(lambda due=due: link.due == due or link.polls > 0)  # type: ignore[misc]
+        self.assertEqual((len(rig.listed()), rig.channel.sources.moves), (4002, 1))
+
+    @inlineCallbacks
+    def test_whose_numbers_they_are_must_be_said_before_the_events_of_a_long_answer(self) -> Any:
+        rig, (a, b, c) = yield self.begun("A", "B", "C")
+        b.list_(9, **{f"shelf-of-a-long-name-{at}": "active" for at in range(3000)})
+        b.head_last = True
+        yield a.kill()
+        yield rig.turned(lambda: len(c.polls) > 1)
+        self.assertEqual((rig.listed(), len(b.polls)), ({"c1": "SERVING", "c2": "SERVING"}, 1))
+
+    @inlineCallbacks
+    def test_a_purge_of_a_time_to_come_hides_none_after_it(self) -> Any:
+        rig, (a,) = yield self.begun("A")
+        a.purge(1, 9_000_000_000_000)
+        yield rig.asked(a, 3)
+        a.purge(1, 8_000_000_000_000)
+        yield rig.asked(a, 4)
+        self.assertEqual(rig.purged(), [1, 1, 1])
+
     @inlineCallbacks
     def test_a_router_with_a_section_polls_its_sources_and_tells_their_figures(self) -> Any:
         source = ScriptedSource("A").list_(5, c1="active")
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -78,6 +78,9 @@
         """Of the next poll."""
         return f"/cmd/next?resume={self.ask()}&block={block_ms:.0f}"
 
+    def expecting(self) -> None:
+        """A poll has gone out, or a part of its answer has come."""
+
     @property
     def doubtful(self) -> bool:
         """Whether the first poll of a connection asks what stands now."""
--- a/thornjunction/net/channel_link.py
+++ b/thornjunction/net/channel_link.py
@@ -57,6 +57,7 @@
         """The answer, or the next piece of it, from then on."""
         channel = self.channel
         channel.deadlines.cancel(self.timer)
+        channel.expecting()
         self.due = start + grown(channel.silent_ms, channel.silences, MOST_SILENT_MS)
         if self.long is not None:
             self.due = min(self.due, self.long.until)
--- a/thornjunction/net/sourced_channel.py
+++ b/thornjunction/net/sourced_channel.py
@@ -122,11 +122,13 @@
     def target(self, block_ms: float) -> str:
         position = self.follower.asked(self.clock())
         self.cursor = self._asked = self.follower.cursor
-        self._feed_machine(Polled(self.address))
         epoch = f"&epoch={position.epoch}" if position.epoch else ""
         words = self.words(self.sources.sources[self.address].sibling)
         return f"/cmd/next?resume={position.resume}&block={block_ms:.0f}{epoch}{words}"
 
+    def expecting(self) -> None:
+        self._feed_machine(Polled(self.address))
+
     def answered(self, commands: Commands, steady: bool = False) -> None:
         """An answer has come whole; of a long one, its events have been offered."""
         self.silences = self._fails = 0
@@ -156,7 +158,6 @@
             self._begun = True
         piece = read_piece(listed, self.follower.cursor)
         self._take(piece.events, None)
-        self._feed_machine(Polled(self.address))  # it is not silent
         return piece
 
     def _begin(self, head: Commands) -> None:
