--- a/thornjunction/net/channel_link.py
+++ b/thornjunction/net/channel_link.py
@@ -137,8 +137,6 @@
         channel.deadlines.cancel(self.timer)
         self.polls, self.asked, self.long = self.polls + 1, False, None
         channel.answered(commands, steady=now - self.since >= channel.block_ms)
-        if self.code:  # the answer was a reason to go elsewhere
-            return
         if self.reader.held:
             raise ProtocolError("unasked")
         if not self.keep:
