--- a/packages/fleet-scale/src/fleet_scale/compare.py
+++ b/packages/fleet-scale/src/fleet_scale/compare.py
@@ -36,8 +36,8 @@
     )  # fmt: skip
     sources = report.table(
         "What it costs discovery and a relay",
-        "routers", "way", "polls/s at discovery", "core % of its 3 processes", "own MB of one", "descriptors", "a relay's core %",
-        "own MB", "descriptors",
+        "routers", "way", "polls/s at discovery", "core % of its 3 processes", "own MB of one", "connections",
+        "a relay's core %", "own MB", "descriptors",
     )  # fmt: skip
     for size in sizes:
         for mode in modes:
