--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -7,14 +7,14 @@
 from typing import Any
 from unittest.mock import patch
 
+from standins import watch
+from standins.clients import FastCgiClient, fastcgi_request
+from standins.rig import reactor, until
+from standins.watch import HEAD, WatchRig, answer, chunked, hold, purges, say, told
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
 from tests.standins import Rig
-from thornjunction.demo import watch
-from thornjunction.demo.clients import FastCgiClient, fastcgi_request
-from thornjunction.demo.rig import reactor, until
-from thornjunction.demo.watch import HEAD, WatchRig, answer, chunked, hold, purges, say, told
 from thornjunction.net import catch_up, channel_link
 from thornjunction.net import channel as channels
 from thornjunction.net.catch_up import CatchUp
--- a/tests/test_long_answer.py
+++ b/tests/test_long_answer.py
@@ -9,9 +9,9 @@
 from unittest.mock import patch
 
 import pytest
+from standins.watch import line, purge, purges, told
 
 from tests.test_watch import service_of
-from thornjunction.demo.watch import line, purge, purges, told
 from thornjunction.net.wire import ProtocolError
 from thornjunction.net.wire.commands import Commands, Purge, decode_commands
 from thornjunction.net.wire.long_answer import LongAnswer
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,6 +12,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from standins.bare import address, call, connect
 from twisted.internet import protocol, reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.trial.unittest import TestCase
@@ -22,7 +23,6 @@
 from thornjunction import interface as api
 from thornjunction.core.counters import Counters
 from thornjunction.core.ports import Call, Order
-from thornjunction.demo.bare import address, call, connect
 from thornjunction.net import shelf_link, shelves
 from thornjunction.net.alarm import core_ms
 from thornjunction.net.metrics import Metrics
@@ -270,3 +270,6 @@
     assert "twisted" in loaded.split()
     assert not {"click", "ijson", "joserfc", "msgspec", "re2"} & set(loaded.split())
     assert not [name for name in loaded.split() if name.startswith("fleet_") or name.endswith(".fleet")]
+    assert not [name for name in loaded.split() if name.startswith(("control_", "sortedcontainers"))]
+    of_control = "net.relay", "runtime.relay", "relay_view", "control_settings", "wire.polls"
+    assert not [name for name in loaded.split() if name.endswith(of_control)]
