--- a/thornjunction/runtime/relay.py
+++ b/thornjunction/runtime/relay.py
@@ -143,10 +143,13 @@
         if isinstance(command, ListChange):
             hosts = tuple(line_of(host) for host in command.hosts)
             return self.feed(ListTold(command.cursor, command.seq, command.whole, hosts))
+        # Guards routers against an hour of purges that no cache holds any more, and the bound on those kept;
+        # their numbers count with the answer's end.
+        age_ms = max(time.time() * 1000.0 - command.when_ms - SKEW_MS, 0.0)
+        if age_ms > self.settings.hold_ms:
+            return
         key = f"{command.key:016x}" if command.key is not None else None
         family = command.group if key is None else -1
-        # Guards routers against an hour of purges that no cache holds any more, and the bound on those kept.
-        age_ms = max(time.time() * 1000.0 - command.when_ms - SKEW_MS, 0.0)
         self.feed(PurgeTold(command.cursor, key, family, command.when_ms, age_ms))
 
     def _confirmed(self, age_ms: float, number: int) -> None:
