--- a/packages/fleet-scale/tests/test_scale_runs.py
+++ b/packages/fleet-scale/tests/test_scale_runs.py
@@ -91,6 +91,18 @@
         return False
 
 
+def is_router(pid: int) -> bool:
+    try:
+        return Path(f"/proc/{pid}/cmdline").read_bytes().split(b"\0")[1:] == [
+            b"-m",
+            b"thornjunction",
+            b"run",
+            b"",
+        ]
+    except OSError:
+        return False
+
+
 def until(holds: Callable[[], bool]) -> None:
     end = time.monotonic() + WITHIN_S
     while not holds():
@@ -105,6 +117,8 @@
     run = subprocess.Popen(command, cwd=ROOT, env=env, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
     try:
         until(lambda: len(children(run.pid)) >= 13)  # shelfs, discoveries, links, whole routers, load
+        # What has become a router is held by the kernel's signal alone.
+        until(lambda: sum(map(is_router, children(run.pid))) == 3)
         begun = children(run.pid)
         run.send_signal(number)
         assert run.wait(WITHIN_S) == (-9 if number is signal.SIGKILL else 143)
