--- a/tests/sources_rig.py
+++ b/tests/sources_rig.py
@@ -5,41 +5,35 @@
 
 from collections.abc import Callable
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
 from control_sources import Sources
 from standins.rig import reactor, until
-from standins.watch import answer
+from standins.watch import HandClock, WatchStandIn, answer
 from twisted.internet import protocol
 from twisted.internet.defer import inlineCallbacks
 from twisted.python.failure import Failure
 
-from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.sourced_channel import SourcedChannel
-from thornjunction.net.transport import Building, Transport
-from thornjunction.net.wire import http1
+from thornjunction.net.transport import Building
 from thornjunction.net.wire.commands import Command, ListChange
 
 Query = dict[str, str]
 
 
-class SourceLink(protocol.Protocol):
-    transport: Transport  # type: ignore[assignment]
+class SourceLink(WatchStandIn):
+    """One connection of a source; its polls have more words."""
 
     def __init__(self, source: ScriptedSource) -> None:
-        self.source, self.reader, self.ended = source, http1.RequestReader(0), ""
+        super().__init__(source)
+        self.source = source
 
-    def connectionMade(self) -> None:  # noqa: N802
-        self.transport.setTcpNoDelay(True)
-        self.source.links.append(self)
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        for request in self.reader.feed(data):
-            query = {key: values[0] for key, values in parse_qs(urlsplit(request.target).query).items()}
-            self.source.polled(self, query)
+    def heard(self, query: Query) -> None:
+        self.source.asked(self, query)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
-        self.ended = type(reason.value).__name__
+        super().connectionLost(reason)
+        if self.source.held is not None and self.source.held[0] is self:
+            self.source.held = None
 
 
 class ScriptedSource:
@@ -49,6 +43,7 @@
 
     def __init__(self, epoch: str) -> None:
         self.epoch, self.age_ms, self.way, self.cut = epoch, 0, "up", False
+        self.slow, self.unsaid, self.head_last = False, b"", False
         self.number = 0
         self.seq, self.state = 0, dict[str, dict[str, Any]]()
         self.listed_at = 0
@@ -96,12 +91,17 @@
         self.release()
         return self
 
+    def forget_purges(self) -> None:
+        """Their hold has passed."""
+        self.purges.clear()
+        self.events = [event for event in self.events if "nodes" in event]
+
     def whole(self) -> list[dict[str, Any]]:
         nodes = {"seq": self.seq, "whole": True, "hosts": list(self.state.values())}
         events = [{"cursor": self.listed_at, "nodes": nodes}, *self.purges]
         return sorted(events, key=lambda event: int(event["cursor"]))
 
-    def polled(self, link: SourceLink, query: Query) -> None:
+    def asked(self, link: SourceLink, query: Query) -> None:
         if query.get("as") == "probe":
             self.probes.append(query)
             if self.way != "hung":
@@ -126,11 +126,14 @@
         self.say(link, events)
 
     def say(self, link: SourceLink, events: list[dict[str, Any]]) -> None:
-        told: dict[str, Any] = {"cursor": self.number, "cmds": events}
+        head: dict[str, Any] = {"cursor": self.number}
         if self.epoch:
-            told |= {"epoch": self.epoch, "age": self.age_ms}
+            head |= {"epoch": self.epoch, "age": self.age_ms}
+        told = {"cmds": events} | head if self.head_last else head | {"cmds": events}
         data = answer(told, 200 if self.way == "up" else int(self.way))
-        if self.cut:
+        if self.slow:
+            self.unsaid = data
+        elif self.cut:
             self.cut = False
             link.transport.write(data[: len(data) // 2])
             link.transport.abortConnection()
@@ -138,11 +141,12 @@
             link.transport.write(data)
 
 
-class SourcesRig:
+class SourcesRig(HandClock):
     """The real channel at scripted sources ``a``, ``b``, and so on."""
 
     def __init__(self, *epochs: str) -> None:
-        self.now, self.deadlines = 1e6, Deadlines()
+        super().__init__()
+        self.now = 1e6
         self.sources = [ScriptedSource(epoch) for epoch in epochs]
         self.taken: list[Command] = []
         self.confirmed: list[tuple[float, int]] = []
@@ -163,19 +167,20 @@
             lambda age_ms, number: self.confirmed.append((age_ms, number)),
         )
 
-    def pass_time(self, ms: float) -> None:
-        """Run what falls due, each at its time, with no turn of the reactor between."""
-        end = self.now + ms
-        while (due := self.deadlines.next_due()) <= end:
-            self.now = max(self.now, due)
-            self.deadlines.run_due(self.now)
-        self.now = end
-
     @inlineCallbacks
     def asked(self, source: ScriptedSource, times: int = 1) -> Any:
         """Until this source holds a poll, after so many polls."""
         yield until(lambda: len(source.polls) >= times and source.held is not None)
 
+    def turned(self, holds: Callable[[], bool]) -> Any:
+        """Until something holds, with what falls due now: pieces of a long answer take turns."""
+
+        def after_a_turn() -> bool:
+            self.pass_time(0.0)
+            return holds()
+
+        return until(after_a_turn)
+
     @inlineCallbacks
     def live(self, ms: float, step_ms: float = 400.0) -> Any:
         """Let time pass while the sources that are up answer the polls they hold, and all probes end."""
@@ -188,18 +193,35 @@
     def settled(self) -> Any:
         """Until no dial and no probe is out, and each poll that is held by a source that is up is a new
         one."""
-        machine = self.channel.sources.sources.values()
-        yield until(lambda: all(source.probed_until == float("inf") for source in machine))
+        yield until(self.rests)
         for source in self.sources:
             if source.held is not None and source.way == "up":
                 polls = len(source.polls)
                 source.release()
-                yield until(
-                    lambda source=source, polls=polls: (  # type: ignore[misc]
-                        len(source.polls) > polls or self.channel.address != source.address
-                    )
-                )
-        yield until(lambda: self.channel._dialling is None)
+                yield until(lambda source=source, polls=polls: self.heard(source, polls))  # type: ignore[misc]
+        yield until(self.rests)
+
+    def rests(self) -> bool:
+        """Whether nothing is on its way: no dial, no probe, no poll that its source has not got."""
+        channel, link = self.channel, self.channel.link
+        if channel._dialling is not None or channel.probes:
+            return False
+        if channel._asked_for is None:
+            return True
+        source = next(source for source in self.sources if source.address == channel._asked_for)
+        if channel.address != source.address or link is None:
+            return False
+        return not link.asked or (source.held is not None and (link.polls > 0 or source.way == "hung"))
+
+    def heard(self, source: ScriptedSource, polls: int) -> bool:
+        """Whether an answer was taken: there is another poll, or a pause before it, or nobody asks here."""
+        link = self.channel.link
+        return (
+            len(source.polls) > polls
+            or link is None
+            or not link.asked
+            or self.channel.address != source.address
+        )
 
     def purged(self) -> list[int]:
         return [command.group for command in self.taken if not isinstance(command, ListChange)]
