Sources: a whole state has as long as any poll, and longer after silences in a row

Change: the first poll has 800 + 500 ms as any other; silences in a row, of whichever source, double the patience up to 5.2 s, until one answers.

--- a/benchmarks/relay_behind.py
+++ b/benchmarks/relay_behind.py
@@ -1,9 +1,10 @@
-"""What an hour behind (122,400 events) costs a relay: a real one before a stand-in discovery, 440 shelfs listed, its
-way to discovery cut meanwhile, and one router's polls.
+"""What an hour behind (122,400 events) costs a relay: a real one before a stand-in discovery, 440 shelfs
+listed, its way to discovery cut meanwhile, and one router's polls.
 
-``PYTHONPATH=. python benchmarks/relay_behind.py [ROUNDS]`` prints a Markdown table, a row a round (default 3): time
-from the way's return until the router has the last purge, peak memory before and after, the longest turn of the
-reactor and the processor time of the longest, all in one process.  Loopback only; each round is under 60 s."""
+``PYTHONPATH=. python benchmarks/relay_behind.py [ROUNDS]`` prints a Markdown table, a row a round (default
+3): time from the way's return until the router has the last purge, processor time of that, peak memory
+before and after, the longest turn of the reactor and the most processor time of one, all in one process.
+Loopback only; each round is under 60 s."""
 
 from __future__ import annotations
 
--- a/packages/control-sources/src/control_sources/sources.py
+++ b/packages/control-sources/src/control_sources/sources.py
@@ -54,7 +54,7 @@
         self.moves = 0  # how often another source was asked than the one before
         self._before: Source | None = None
         self._since = 0.0  # when the current one was first asked
-        self._silent_at = math.inf
+        self._silent_at, self._silences = math.inf, 0  # in a row, of any source
         self._troubled = False  # the current one is behind, or older than what is held
         self._looks = 0  # in a row, while it is
         self._free_at, self._moved_at, self._rests = -math.inf, -math.inf, 0  # of moves that nothing forces
@@ -73,7 +73,7 @@
                     self._tick(now, late)
             case Polled():
                 if self._is_current(event.source):
-                    self._silent_at = now + self.times.silent_ms
+                    self._silent_at = now + self._patience_ms()
             case Answered():
                 source = self.sources[event.source]
                 if event.probe:
@@ -105,11 +105,17 @@
             if current is not None and source is not current and (current.sibling or not source.sibling)
         ]
 
+    def _patience_ms(self) -> float:
+        """Guards sources that are slow, as many come to them at once, against being asked in turn for whole
+        states that nobody waits for."""
+        return doubled(self.times.silent_ms, self._silences, self.times.most_silent_ms)
+
     def _drawn(self, ms: float) -> float:
         return ms * (0.5 + self.draw() / 2)
 
     def _answered(self, source: Source, now: float, event: Answered) -> None:
         self._silent_at, source.fails, source.as_of = math.inf, 0, now - event.age_ms
+        self._silences = 0
         self._troubled = event.older or event.age_ms > self.times.behind_ms
         if not self._troubled:
             self._looks = 0
@@ -127,6 +133,7 @@
 
     def _failed(self, source: Source, now: float, why: str) -> None:
         self.current = None
+        self._silences += why == "silent"
         source.fails += 1
         source.strikes += 1
         source.retry_at = now + self._drawn(
@@ -152,7 +159,7 @@
     def _ask(self, source: Source, now: float, why: str) -> None:
         self.moves += self._before is not None and self._before is not source
         self._before = self.current = source
-        self._since, self._silent_at = now, now + self.times.silent_ms
+        self._since, self._silent_at = now, now + self._patience_ms()
         self._troubled, self._looks = False, 0
         source.look_at = source.probed_until = math.inf
         source.doubt()
--- a/packages/control-sources/src/control_sources/times.py
+++ b/packages/control-sources/src/control_sources/times.py
@@ -7,7 +7,8 @@
 
 @dataclass(frozen=True)
 class SourceTimes:
-    """``silent_ms`` after a poll without an answer a source is left, ``behind_ms`` of age it counts as
+    """``silent_ms`` after a poll without an answer a source is left, doubled with each in a row that was,
+    whichever, up to ``most_silent_ms``; ``behind_ms`` of age it counts as
     behind, and another is younger if its as-of is later by ``younger_ms``.  A source that failed is tried
     again after ``again_ms``, doubled each time up to ``most_again_ms``; probes of sources that are not
     asked are ``look_ms`` apart, as they fail up to ``most_look_ms``.  An earlier source has to answer well
@@ -18,6 +19,7 @@
     Raises ValueError."""
 
     silent_ms: float = 1300.0
+    most_silent_ms: float = 5200.0
     behind_ms: float = 2000.0
     younger_ms: float = 1000.0
     again_ms: float = 100.0
--- a/packages/control-sources/tests/test_sources_choice.py
+++ b/packages/control-sources/tests/test_sources_choice.py
@@ -34,6 +34,26 @@
     assert [at for _, at, _ in world.asked] == [0, 1, 2] and world.current() == 2
 
 
+def test_sources_that_are_slow_as_many_come_are_not_asked_in_turn_for_whole_states() -> None:
+    world = World(2)
+    world.run(5000.0)
+    world.way(0, "hung")
+    world.way(1, "hung")
+    world.run(MINUTE_MS)
+    left = [at for at, _, why in world.asked if why == "silent"]
+    gaps = [later - earlier for earlier, later in zip(left, left[1:], strict=False)]
+    assert 2 * TIMES.silent_ms <= gaps[0] < gaps[1] <= max(gaps) <= TIMES.most_silent_ms + TIMES.again_ms
+    assert len(left) <= MINUTE_MS / TIMES.most_silent_ms + 3
+    world.way(1, "up")
+    world.run(2 * TIMES.most_silent_ms)
+    assert world.current() == 1
+    world.way(0, "up")
+    world.way(1, "hung")
+    hung_at = world.now
+    world.run(WITHIN_MS)  # one answer, and the next that hangs is left as soon as ever
+    assert world.asked[-1][0] - hung_at < WITHIN_MS and world.current() == 0
+
+
 def test_a_source_that_falls_behind_is_left_where_another_is_younger() -> None:
     world = World(3)
     world.run(5000.0)
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -74,6 +74,19 @@
         yield rig.asked(b, 2)
         self.assertLess(rig.now - hung_at, WITHIN_MS)
 
+    @inlineCallbacks
+    def test_a_source_has_as_long_for_a_whole_state_as_for_a_poll_and_longer_after_another_hung(self) -> Any:
+        """186 routers of a relay that was killed came to the next at once, gave it 501 ms for a whole state,
+        and went on to another in turn: some six states each."""
+        rig, (a, b) = yield self.begun("A", "B")
+        a.way = b.way = "hung"
+        rig.pass_time(1300.0)
+        yield rig.asked(b, 1)
+        rig.pass_time(1799.0)
+        self.assertEqual(rig.channel.sources.current.place, 1)
+        rig.pass_time(802.0)
+        self.assertNotEqual(rig.channel.sources.current, rig.channel.sources.sources[b.address])
+
     @inlineCallbacks
     def test_a_process_that_was_late_itself_reads_before_it_judges(self) -> Any:
         rig, (a, b) = yield self.begun("A", "B")
--- a/thornjunction/net/channel.py
+++ b/thornjunction/net/channel.py
@@ -38,6 +38,7 @@
 
     block_ms: float = BLOCK_MS  # of a poll
     silent_ms: float = SILENT_MS  # how much later its answer may come
+    least_ms: float = 0.0  # of the wait for a poll that asks for an answer at once, before that
 
     def __init__(
         self,
--- a/thornjunction/net/channel_link.py
+++ b/thornjunction/net/channel_link.py
@@ -51,7 +51,7 @@
         self.block, self.sent_at = (AT_ONCE_MS if doubtful else channel.block_ms), channel.clock()
         self.transport.write(http1.encode_get(channel.target(self.block), channel.host))
         # Guards against a cut path: a poll that is not answered says nothing.
-        self._expect(self.sent_at + self.block)
+        self._expect(self.sent_at + max(self.block, channel.least_ms))
 
     def _expect(self, start: float) -> None:
         """The answer, or the next piece of it, from then on."""
--- a/thornjunction/net/sourced_channel.py
+++ b/thornjunction/net/sourced_channel.py
@@ -65,7 +65,7 @@
     with the age (ms) of what is held and the number up to which all was taken, where an answer has told
     all."""
 
-    block_ms = POLL_MS
+    block_ms = least_ms = POLL_MS
     silent_ms = PATIENCE_MS
 
     def __init__(
@@ -233,7 +233,7 @@
             return
         self.address = self._asked_for
         self.host = f"{self.address[0]}:{self.address[1]}"
-        self.failures = self.silences = self.hangs = self.wasted = 0
+        self.failures = self.hangs = self.wasted = 0  # silences count over all, until one answers
         self._open = True
         super().start()
 
