--- a/thornjunction/net/catch_up.py
+++ b/thornjunction/net/catch_up.py
@@ -14,6 +14,7 @@
 PIECE, SLICE = 65_536, 8192  # bytes: of a turn at most, and between two looks at the clock
 PIECE_MS = 4.0  # of parsing in a turn; what was parsed then is applied
 PIECE_CHANGES = 16  # list changes of a turn: each is weighed by the decisions
+PIECE_EVENTS = 200  # of a turn, and what one slice more holds: a relay spends some 20 us on each
 
 Apply = Callable[[Commands | None, list[Any]], Commands]
 
@@ -67,13 +68,13 @@
     def _parse(self) -> tuple[list[Any], int]:
         """A turn's events, and how many bytes were read for them."""
         listed, read, changes, until = list[Any](), 0, 0, self.clock() + PIECE_MS
-        while self._waiting and read < PIECE and changes < PIECE_CHANGES and not self._answer.fault:
+        while self._waiting and read < PIECE and changes < PIECE_CHANGES and len(listed) < PIECE_EVENTS:
             part = bytes(self._waiting[:SLICE])
             del self._waiting[:SLICE]
             events, read = self._answer.feed(part), read + len(part)
             changes += sum(isinstance(event, dict) and "nodes" in event for event in events)
             listed += events
-            if self.clock() >= until:
+            if self._answer.fault or self.clock() >= until:
                 break
         return listed, read
 
