--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -77,7 +77,7 @@
     @inlineCallbacks
     def test_a_source_has_as_long_for_a_whole_state_as_for_a_poll_and_longer_after_another_hung(self) -> Any:
         """186 routers of a relay that was killed came to the next at once, gave it 501 ms for a whole state,
-        and went on to another in turn: some six states each."""
+        and went on to another in turn: several states each."""
         rig, (a, b) = yield self.begun("A", "B")
         a.way = b.way = "hung"
         rig.pass_time(1300.0)
