--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv-ci
 BUILD := $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build dev lint test seeds tidy check run sim
+.PHONY: build dev lint test seeds tidy check run sim scale scale-small
 
 build:
 	$(BUILD)
@@ -24,13 +24,22 @@
 	@left="$$(git status --porcelain | grep -v '^[AMDR]  ' || true)"; \
 	if [ -n "$$left" ]; then echo "the tree is not clean:"; echo "$$left"; exit 1; fi
 
-seeds: dev  # membership and shares under drawn faults; see packages/fleet-sim
+seeds: dev  # under drawn faults: membership and shares (packages/fleet-sim), relays (control-sim)
 	$(VENV)/bin/python -m fleet_sim --seeds 2000 --jobs 2
+	$(VENV)/bin/python -m control_sim --seeds 2000 --jobs 2
 
-check: lint test seeds tidy
+check: lint test seeds scale-small tidy
 
 run: build
 	exec .venv/bin/python -m thornjunction
 
 sim: build
 	exec .venv/bin/python -m thornjunction.adapter
+
+scale: dev  # the whole: up to 1,200 hollow routers, one stage after the other
+	$(VENV)/bin/python -m fleet_scale compare --out docs/capacity/compare.md
+	$(VENV)/bin/python -m fleet_scale slopes --out docs/capacity/slopes.md
+	$(VENV)/bin/python -m fleet_scale faults --out docs/capacity/faults.md
+
+scale-small: dev  # the form for CI: verdicts on counts and orders, under 90 s
+	$(VENV)/bin/python -m fleet_scale small --most-s 90 --out found/scale-small.md
--- a/thornjunction/demo/watch.py
+++ b/packages/standins/src/standins/watch.py
@@ -14,8 +14,8 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.python.failure import Failure
 
+from standins.rig import until
 from thornjunction import interface as api
-from thornjunction.demo.rig import until
 from thornjunction.memory.deadlines import Deadlines
 from thornjunction.net.channel import MOST_AGAIN_MS, Channel
 from thornjunction.net.transport import Building, Transport
@@ -56,6 +56,27 @@
     link.transport.loseWriteConnection()
 
 
+def purge(number: int) -> dict[str, Any]:
+    """The event of that number: a purge of long ago."""
+    return {"cursor": number, "drop": {"id": f"{number:016x}", "when": 1764576000123 + number}}
+
+
+def purges(first: int, last: int) -> list[dict[str, Any]]:
+    return [purge(number) for number in range(first, last + 1)]
+
+
+def told(events: list[Any], cursor: int) -> bytes:
+    """The body of an answer."""
+    return json.dumps({"cursor": cursor, "cmds": events}).encode()
+
+
+def chunked(body: bytes, size: int, end: bytes = b"0\r\n\r\n") -> bytes:
+    """An answer in chunks of so many bytes."""
+    parts = (body[start : start + size] for start in range(0, len(body), size))
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+    return HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + end
+
+
 HEAD = b"HTTP/1.1 200 OK\r\n"
 GOOD = answer({"cursor": 1, "cmds": [{"cursor": 1, "drop": {"family": 3, "when": 5}}]})  # the first event
 BAD: dict[str, Step] = {  # what is no answer
@@ -70,7 +91,8 @@
     "500": say(answer({"cursor": 9, "cmds": []}, 500)),
     "404": say(answer({}, 404)),
     "endless headers": say(HEAD + b"a: b\r\n" * 4000),
-    "huge": say(HEAD + b"Content-Length: 2000000\r\n\r\n"),
+    "huge": say(HEAD + b"Content-Length: 64000001\r\n\r\n"),  # a byte over the bound of a long answer
+    "huge in chunks": say(HEAD + b"Transfer-Encoding: chunked\r\n\r\n3d09001\r\n"),
     "no chunk": say(HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
     "no length": say(HEAD + b"\r\n" + GOOD.partition(b"\r\n\r\n")[2]),
     "cut": cut,
@@ -107,7 +129,7 @@
 
     transport: Transport  # type: ignore[assignment]
 
-    def __init__(self, discovery: ScriptedDiscovery) -> None:
+    def __init__(self, discovery: Any) -> None:
         self.discovery, self.reader, self.ended = discovery, http1.RequestReader(0), ""
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -116,8 +138,10 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         for request in self.reader.feed(data):
-            query = parse_qs(urlsplit(request.target).query)
-            self.discovery.polled(self, int(query["resume"][0]), int(query["block"][0]))
+            self.heard({key: values[0] for key, values in parse_qs(urlsplit(request.target).query).items()})
+
+    def heard(self, query: dict[str, str]) -> None:
+        self.discovery.polled(self, int(query["resume"]), int(query["block"]))
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         self.ended = type(reason.value).__name__
@@ -165,11 +189,27 @@
         self.release()
 
 
-class WatchRig:
+class HandClock:
+    """A clock that is turned by hand, and the deadlines by it."""
+
+    def __init__(self) -> None:
+        self.now, self.deadlines = 1000.0, Deadlines()
+
+    def pass_time(self, ms: float) -> None:
+        """Run what falls due, each at its time, with no turn of the reactor between."""
+        end = self.now + ms
+        while (due := self.deadlines.next_due()) <= end:
+            self.now = max(self.now, due)
+            self.deadlines.run_due(self.now)
+        self.now = end
+
+
+class WatchRig(HandClock):
     """The real channel at a scripted discovery."""
 
     def __init__(self) -> None:
-        self.now, self.taken, self.deadlines = 1000.0, list[Command](), Deadlines()
+        super().__init__()
+        self.taken = list[Command]()
         self.discovery = ScriptedDiscovery()
         self.channel = self.build(self.discovery.address)
 
@@ -188,13 +228,9 @@
         self.discovery.script[:] = script
         self.build(self.discovery.address).start()
 
-    def pass_time(self, ms: float) -> None:
-        """Run what falls due, each at its time, with no turn of the reactor between."""
-        end = self.now + ms
-        while (due := self.deadlines.next_due()) <= end:
-            self.now = max(self.now, due)
-            self.deadlines.run_due(self.now)
-        self.now = end
+    def come(self, holds: Callable[[], Any]) -> Any:
+        """Until something holds, with what is due at this moment run; no time passes."""
+        return until(lambda: (self.deadlines.run_due(self.now), holds())[1])  # type: ignore[func-returns-value]
 
     @inlineCallbacks
     def polled(self, times: int) -> Any:
--- /dev/null
+++ b/tests/test_catch_up.py
@@ -0,0 +1,298 @@
+"""Catching up on real connections: long answers in pieces, their cuts, garbage and lies; deadlines by a clock
+that is turned by hand, discovery scripted."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from unittest.mock import patch
+
+from standins import watch
+from standins.clients import FastCgiClient, fastcgi_request
+from standins.rig import reactor, until
+from standins.watch import HEAD, WatchRig, answer, chunked, hold, purges, say, told
+from twisted.internet.defer import inlineCallbacks
+from twisted.trial.unittest import TestCase
+
+from tests.standins import Rig
+from thornjunction.net import catch_up, channel_link
+from thornjunction.net import channel as channels
+from thornjunction.net.catch_up import CatchUp
+from thornjunction.net.wire.commands import Commands
+
+AN_HOUR = 122_400  # purges: 34 a second
+READ = 65_536  # bytes: of one read of a socket, so of what is no long answer, and of a turn
+EVENT = 1_000_000  # bytes of one event at most
+SOME = 3000  # purges whose answer is long
+FCGI = {"SCRIPT_NAME": "/do/films", "HTTP_X_ROW": "7f3a9c21e0b4d655", "HTTP_X_TTL_MS": "1500"}
+LONG = told(purges(1, SOME), SOME)
+MIDDLE = LONG.index(b'{"cursor": 2500,')  # where the 2,500th event begins; 2,499 are whole before
+UNTIL_THEN = list(range(1, 2500))
+JUNK = b'"' + b"x" * (2 * EVENT)
+SPOILT: dict[str, tuple[bytes, str]] = {  # what comes from there on, and what it is called
+    "garbage": (b"}" + LONG[MIDDLE:], "commands-form"),
+    "no JSON's number": (LONG[MIDDLE:].replace(b"1764576002623", b"NaN"), "commands-form"),
+    "a number without end": (b"9" * 5000 + b"," + LONG[MIDDLE:], "commands-form"),
+    "half a letter": (b'"\xed\xa0\x80"' + LONG[MIDDLE:], "commands-form"),
+    "no letters": (b'"\xff"' + LONG[MIDDLE:], "commands-form"),
+    "the end too early": (b'{}], "cursor": 9} ' + LONG[MIDDLE:], "commands-form"),
+    "deep": (b"[" * 100_000, "commands-depth"),
+    "an event without end": (JUNK, "event-size"),
+    "an event of too many values": (b"[" + b"{}," * 200_000, "event-size"),
+    "nothing but faults": (b"7," * 2000 + LONG[MIDDLE:], "commands-faults"),
+    "nothing but spaces": (b" " * (2 * EVENT), "event-size"),
+}
+
+
+class CatchUpTest(TestCase):
+    timeout = 40
+
+    def setUp(self) -> None:
+        self.rig = WatchRig()
+        self.discovery, self.channel = self.rig.discovery, self.rig.channel
+        self.addCleanup(self.rig.stop)
+        self.pieces: list[tuple[int, int]] = []  # bytes that were taken, bytes that were held before, of each
+        take = CatchUp.take
+
+        def noted(catching: CatchUp) -> bool:
+            held, link = len(catching._waiting), self.rig.channel.link
+            try:
+                return take(catching)
+            finally:
+                self.pieces.append((held - len(catching._waiting), held + link.reader.held))
+
+        shortest = patch.object(channels.random, "random", lambda: 0.0)  # of each pause: half of it
+        for patcher in (patch.object(CatchUp, "take", noted), shortest):
+            patcher.start()
+            self.addCleanup(patcher.stop)
+
+    def numbers(self) -> list[int]:
+        return [event.cursor for event in self.rig.taken]
+
+    @inlineCallbacks
+    def test_an_hour_behind_is_in_step_again_while_requests_are_answered(self) -> Any:
+        """At most one read of the socket is held and taken a turn, so requests come between."""
+        self.discovery.events = purges(1, AN_HOUR)
+        fronts, turns, counts = Rig(), [0], list[int]()
+        self.addCleanup(fronts.stop)
+        client = yield fronts.client(3, FastCgiClient)
+        apply, at = self.channel.apply_piece, list[int]()
+
+        def counted(head: Commands | None, listed: list[Any]) -> Commands:
+            at.append(turns[0])
+            counts.append(len(listed))
+            return apply(head, listed)
+
+        def turn() -> None:
+            turns[0] += 1
+            if self.channel.cursor < AN_HOUR:
+                reactor.callLater(0, turn)
+
+        self.channel.apply_piece, asked = counted, 0  # type: ignore[method-assign]
+        self.channel.start()
+        turn()
+        while self.channel.cursor < AN_HOUR:
+            asked, ended = asked + 1, client.has(asked + 1)
+            client.transport.write(fastcgi_request(asked, FCGI | {"HTTP_X_TXN": f"{asked:016x}"}))
+            yield ended
+            self.rig.deadlines.run_due(self.rig.now)
+        yield self.rig.come(lambda: len(self.discovery.polls) == 2)
+        self.assertEqual(self.discovery.polls, [(0, 1), (AN_HOUR, 1200)])
+        self.assertEqual(self.numbers(), list(range(1, AN_HOUR + 1)))
+        taken, held = (max(column) for column in zip(*self.pieces, strict=True))
+        self.assertTrue(taken <= READ and held <= 2 * READ)
+        self.assertEqual(sorted(set(at)), at)  # never two of them in one turn
+        self.assertLess(max(counts), 1000)
+        self.assertGreater(asked, 10)
+        self.assertTrue(all(client.output(n).startswith(b"Status: 200") for n in range(1, asked + 1)))
+
+    @inlineCallbacks
+    def test_chunks_of_any_size_are_the_same_answer(self) -> Any:
+        for size in (700, READ - 1, READ + 1, len(LONG)):
+            yield self.rig.afresh(say(chunked(LONG, size)), hold)
+            yield self.rig.come(lambda: len(self.discovery.polls) == 2)
+            self.assertEqual(self.discovery.polls, [(0, 1), (SOME, 1200)], size)
+            self.assertEqual(self.numbers(), list(range(1, SOME + 1)), size)
+            self.assertLessEqual(max(taken for taken, _ in self.pieces), READ)
+
+    @inlineCallbacks
+    def test_what_has_come_is_taken_before_more_is_read(self) -> Any:
+        """Where a turn takes less than a read brings; and what follows the answer is heard."""
+        with patch.object(catch_up, "PIECE", READ // 4):
+            yield self.rig.afresh(
+                say(answer(LONG)), say(answer(told([watch.purge(SOME + 1)], SOME + 1))), hold
+            )
+            yield self.rig.come(lambda: len(self.discovery.polls) == 3)
+        self.assertEqual(self.numbers(), list(range(1, SOME + 2)))
+        self.assertLessEqual(max(held for _, held in self.pieces), READ + 64)  # an open head counts 64
+        self.assertLessEqual(max(taken for taken, _ in self.pieces), READ // 4)
+
+    @inlineCallbacks
+    def test_the_head_of_a_long_answer_counts(self) -> Any:
+        """A refusal says nothing however long it is, and a connection that is to close is not asked again."""
+        refusal, last = answer(LONG, 500), answer(LONG).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        for form, code, cursor in ((refusal, "status-500", 0), (last, "no-keep-alive", SOME)):
+            with patch.object(channels, "log_end") as ends:
+                yield self.rig.afresh(say(form), hold)
+                yield self.rig.come(self.channel_is_down)
+            self.assertEqual((ends.call_args.args[2], self.rig.channel.cursor), (code, cursor))
+            self.assertEqual(self.numbers(), list(range(1, cursor + 1)))
+
+    @inlineCallbacks
+    def test_an_answer_of_the_size_of_a_piece_is_read_whole(self) -> Any:
+        """The platform's ordinary day: neither the parser of long answers nor its pieces.  What follows one
+        that is longer is heard as well."""
+        events = purges(1, 700)
+        space = b" " * (READ - len(told(events, 700)))
+        for more, pieces in ((b"", 0), (b" ", 2)):
+            del self.pieces[:]
+            later = answer(told(purges(701, 702), 702))
+            yield self.rig.afresh(say(answer(told(events, 700) + space + more)), say(later), hold)
+            yield self.rig.come(lambda: len(self.discovery.polls) == 3)
+            self.assertEqual((self.numbers(), len(self.pieces)), (list(range(1, 703)), pieces))
+
+    @inlineCallbacks
+    def test_a_cut_in_the_middle_of_an_event_leaves_the_cursor_at_the_last_whole_one(self) -> Any:
+        self.discovery.events = purges(1, SOME)
+        for size in (MIDDLE - 2, MIDDLE + 1, MIDDLE + 30):
+            for form in (
+                answer(LONG)[: len(answer(LONG)) - len(LONG) + size],
+                chunked(LONG[:size], 900, b""),
+            ):
+                yield self.rig.afresh(say(form, end=watch.half_close))
+                yield self.rig.come(lambda: self.channel_is_down())
+                self.assertEqual(self.numbers(), UNTIL_THEN)
+                self.rig.pass_time(25.0)  # what was cut brought much: the shortest pause
+                yield self.rig.polled(3)
+                self.assertEqual([resume for resume, _ in self.discovery.polls], [0, 2499, SOME])
+                self.assertEqual(self.numbers(), list(range(1, SOME + 1)))
+
+    def channel_is_down(self) -> bool:
+        return bool(self.discovery.polls) and self.rig.channel.link is None
+
+    @inlineCallbacks
+    def test_what_is_spoilt_in_the_middle_ends_there(self) -> Any:
+        """What was whole before it counts, once; what is held and read of it is bounded."""
+        for name, (rest, code) in SPOILT.items():
+            del self.pieces[:]
+            with patch.object(channels, "log_end") as ends:
+                yield self.rig.afresh(say(chunked(LONG[:MIDDLE] + rest, 5000, b"")))
+                yield self.rig.come(self.channel_is_down)
+            self.assertEqual(ends.call_args.args[2], code, name)
+            taken = self.numbers()
+            self.assertEqual(taken, UNTIL_THEN[: len(taken)], name)
+            self.assertGreaterEqual(len(taken), 2499 if code != "commands-faults" else 1600, name)
+            self.assertLessEqual(max(held for _, held in self.pieces), 2 * READ, name)
+            self.assertLess(sum(taken for taken, _ in self.pieces), MIDDLE + EVENT + READ, name)
+            self.assertEqual(self.rig.channel.cursor, len(taken), name)
+
+    @inlineCallbacks
+    def test_an_answer_without_end_is_bounded_in_bytes(self) -> Any:
+        with patch.object(channel_link, "LONGEST", len(LONG)), patch.object(channels, "log_end") as ends:
+            yield self.rig.afresh(say(chunked(told(purges(1, 6000), 6000), 1000, b"")))
+            yield self.rig.come(self.channel_is_down)
+        self.assertEqual(ends.call_args.args[2], "http-body-size")
+        self.assertTrue(1000 < self.rig.channel.cursor <= SOME)  # less two pieces
+        self.assertEqual(self.numbers(), list(range(1, self.rig.channel.cursor + 1)))
+
+    @inlineCallbacks
+    def test_whole_events_keep_a_long_answer_alive_up_to_a_bound(self) -> Any:
+        """One each 700 ms is progress up to the bound of the whole; what is left is asked for again."""
+        yield self.rig.afresh(say(chunked(LONG[:MIDDLE], 1000, b"")))
+        yield self.rig.come(lambda: self.rig.channel.cursor == 2499)
+        started, number, link = self.rig.now, 2500, self.rig.channel.link
+        while not link.code:
+            event = json.dumps(watch.purge(number)).encode() + b", "
+            self.discovery.links[-1].transport.write(b"%x\r\n%b\r\n" % (len(event), event))
+            yield self.rig.come(lambda number=number: self.rig.channel.cursor == number)
+            self.rig.pass_time(700.0)
+            number += 1
+        self.assertEqual(link.code, "long")
+        self.assertTrue(29_000.0 <= self.rig.now - started <= 31_500.0)
+        yield self.rig.ended(25.0)
+        yield self.rig.polled(2)
+        self.assertEqual(self.discovery.polls[1][0], number - 1)
+
+    @inlineCallbacks
+    def test_a_dribble_without_whole_events_is_silence(self) -> Any:
+        """So is a promise of much that never comes."""
+        for length in (b"Content-Length: 2000000\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\nf0000\r\n"):
+            yield self.rig.afresh(say(HEAD + length + LONG[:MIDDLE]))
+            yield self.rig.come(lambda: self.rig.channel.cursor == 2499)
+            link, pieces = self.rig.channel.link, len(self.pieces)
+            for byte in range(7):
+                self.discovery.links[-1].transport.write(LONG[MIDDLE + byte : MIDDLE + byte + 1])
+                yield self.rig.come(lambda pieces=pieces + byte: len(self.pieces) > pieces)
+                self.rig.pass_time(100.0)
+            self.assertEqual(link.code, "")
+            self.rig.pass_time(100.0)
+            self.assertEqual(link.code, "silent")
+        yield self.rig.afresh(say(HEAD + b"Content-Length: 2000000\r\n\r\n"))
+        yield self.rig.come(lambda: self.rig.channel.link and self.rig.channel.link.long)
+        self.rig.pass_time(801.0)
+        self.assertEqual(self.rig.channel.link.code, "silent")
+
+    @inlineCallbacks
+    def test_drains_come_before_purges_where_both_wait(self) -> Any:
+        events = purges(1, SOME)
+        events[60] = {"cursor": 61, "nodes": {"hosts": [watch.line("c1", health="leaving")]}}
+        events[2990] = {"cursor": 2991, "nodes": {"hosts": [watch.line("c2", health="left")]}}
+        yield self.rig.afresh(say(answer({"cursor": SOME, "cmds": events})), hold)
+        yield self.rig.come(lambda: len(self.discovery.polls) == 2)
+        self.assertEqual(self.numbers()[:4], [61, 1, 2, 3])
+        late = self.numbers().index(2991)
+        self.assertTrue(late < 2990 and self.numbers()[late + 1] == late + 1)  # the first of its piece
+        self.assertEqual(sorted(self.numbers()), list(range(1, SOME + 1)))
+        self.assertEqual(self.discovery.polls, [(0, 1), (SOME, 1200)])
+
+    @inlineCallbacks
+    def test_an_event_without_a_number_is_taken_in_its_piece(self) -> Any:
+        """What says of no number whom it drains is heeded, and the cursor stays among those that came."""
+        events: list[Any] = purges(1, SOME)
+        events[70] = {"nodes": {"hosts": [watch.line("c1", health="leaving")]}}
+        with patch.object(channels.log, "error") as faults:
+            yield self.rig.afresh(say(answer({"cursor": SOME, "cmds": events})), hold)
+            yield self.rig.come(lambda: len(self.discovery.polls) == 2)
+        self.assertEqual(watch.in_short(self.rig.taken[0]), "c1:DRAINING")
+        self.assertEqual((len(self.rig.taken), self.rig.channel.cursor), (SOME, SOME))
+        self.assertEqual(faults.call_args.kwargs["faults"], "event-cursor")
+
+    @inlineCallbacks
+    def test_an_answer_of_old_events_alone_is_asked_again_with_growing_pauses(self) -> Any:
+        yield self.rig.afresh(*[say(answer(LONG))] * 7)
+        self.rig.channel.replay(Commands(SOME, ()))
+        for polls, pause_ms in enumerate((200.0, 400.0, 800.0, 1600.0, 2500.0, 2500.0), 1):
+            yield self.rig.come(
+                lambda polls=polls: self.rig.channel.link and self.rig.channel.link.polls == polls
+            )
+            self.rig.pass_time(pause_ms - 1.0)
+            self.assertFalse(self.rig.channel.link.asked)
+            self.rig.pass_time(1.0)
+            self.assertTrue(self.rig.channel.link.asked)
+        self.assertEqual((self.rig.taken, {resume for resume, _ in self.discovery.polls}), ([], {SOME}))
+        yield self.rig.come(lambda: self.rig.channel.link.polls == 7)
+        self.rig.pass_time(2500.0)
+        yield until(lambda: self.discovery.held)
+        self.rig.pass_time(1200.0)
+        self.discovery.release()  # a poll that was held, as all should be
+        yield until(lambda: len(self.discovery.polls) == 9)
+        self.rig.channel.link.close("test")
+        yield self.rig.come(lambda: self.rig.channel.link is None)
+        self.assertEqual(self.rig.deadlines.next_due() - self.rig.now, 25.0)
+
+    @inlineCallbacks
+    def test_much_that_ends_without_an_event_is_asked_again_with_growing_pauses(self) -> Any:
+        """Also behind a first one each time; progress brings the short pause back."""
+        huge = [
+            HEAD + b"Content-Length: 9000000\r\n\r\n" + told([watch.purge(number)], 9)[:-2] + b", " + JUNK
+            for number in range(1, 6)
+        ]
+        some = HEAD + b"Content-Length: 9000000\r\n\r\n" + LONG[:MIDDLE]
+        yield self.rig.afresh(*[say(one) for one in huge], say(some, end=watch.half_close), hold)
+        for wait_ms in (200.0, 400.0, 800.0, 1600.0, 2500.0, 25.0):
+            yield self.rig.come(lambda: len(self.discovery.polls) and self.rig.channel.link is None)
+            self.assertAlmostEqual(self.rig.deadlines.next_due() - self.rig.now, wait_ms)
+            polls = len(self.discovery.polls)
+            self.rig.pass_time(wait_ms)
+            yield self.rig.polled(polls + 1)
+        self.assertEqual([resume for resume, _ in self.discovery.polls], [0, 1, 2, 3, 4, 5, 2499])
