--- a/thornjunction/net/channel_link.py
+++ b/thornjunction/net/channel_link.py
@@ -51,7 +51,7 @@
         self.block, self.sent_at = (AT_ONCE_MS if doubtful else channel.block_ms), channel.clock()
         self.transport.write(http1.encode_get(channel.target(self.block), channel.host))
         # Guards against a cut path: a poll that is not answered says nothing.
-        self._expect(self.sent_at + self.block)
+        self._expect(self.sent_at + max(self.block, channel.least_ms))
 
     def _expect(self, start: float) -> None:
         """The answer, or the next piece of it, from then on."""
@@ -137,8 +137,6 @@
         channel.deadlines.cancel(self.timer)
         self.polls, self.asked, self.long = self.polls + 1, False, None
         channel.answered(commands, steady=now - self.since >= channel.block_ms)
-        if self.code:  # the answer was a reason to go elsewhere
-            return
         if self.reader.held:
             raise ProtocolError("unasked")
         if not self.keep:
