--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -9,14 +9,14 @@
 from unittest.mock import Mock, patch
 
 import pytest
+from standins import watch
+from standins.rig import reactor, until
+from standins.watch import GOOD, ScriptedDiscovery, WatchRig, answer, fetched_from, hold, line, say
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
 from tests.test_core import CONFIG
 from thornjunction.core.counters import Counters
-from thornjunction.demo import watch
-from thornjunction.demo.rig import reactor, until
-from thornjunction.demo.watch import GOOD, ScriptedDiscovery, WatchRig, answer, fetched_from, hold, line, say
 from thornjunction.net import channel as channels
 from thornjunction.net.wire.commands import ListChange, decode_commands
 from thornjunction.runtime.config import parse_config
@@ -107,6 +107,22 @@
         self.assertEqual((other.polls, len(self.rig.taken)), ([(1, 1200), (2, 1200)], 2))
         self.assertEqual(self.discovery.links[0].ended, "ConnectionDone")  # in order, not reset
 
+    @inlineCallbacks
+    def test_a_new_address_while_a_long_answer_comes(self) -> Any:
+        other = ScriptedDiscovery()
+        self.addCleanup(other.stop)
+        other.events = watch.purges(1, 3000)
+        self.discovery.script = [say(answer({"cursor": 3000, "cmds": other.events}))]
+        self.channel.start()
+        yield until(lambda: self.channel.cursor)
+        taken = self.channel.cursor
+        self.channel.move(other.address)
+        yield self.rig.ended(50.0)
+        yield self.rig.come(lambda: len(other.polls) == 2)
+        self.assertTrue(0 < taken < 3000)
+        self.assertEqual(other.polls, [(taken, 1), (3000, 1200)])
+        self.assertEqual([event.cursor for event in self.rig.taken], list(range(1, 3001)))
+
     @inlineCallbacks
     def test_a_new_address_while_a_dial_hangs(self) -> Any:
         with socket.socket() as full, socket.socket() as filler:
