Review: the paused router becomes case 3; the signed front's replacement leaves

A lost request in ordinary service is graver than the two cases that were 2 and 3.

Change: review/2 moves to review/3.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,156 +1,152 @@
-"""The replacement of a process whose operators' file has a section ``[signed]``."""
+"""A router that is paused for 2.5 s while an object is purged and clients ask for it."""
 
 from __future__ import annotations
 
 import asyncio
-import base64
-import json
 import secrets
 import signal
 import sys
 import time
-from collections import Counter
+from dataclasses import dataclass
 from pathlib import Path
 
-from standins.fastcgi import LOST, Answer, FastCgiClient
-from standins.platform import (
-    LOOPBACK,
-    Platform,
-    RouterProcess,
-    free_port,
-    has_trouble,
-    play,
-    require,
-)
+from standins.fastcgi import FastCgiClient
+from standins.platform import Platform, has_trouble, play, require
+from standins.record import Record
 from standins.shelf import Reply, Want
 
-# How long clients send while the process is replaced, and how often.
-LOAD_S = 5.0
-INTERVAL_S = 0.05
-# When new connections come after SIGTERM: the page says for 0.2 to 0.4 s.
-AFTER_SIGTERM_S = (0.05, 0.1, 0.15, 0.2)
-TTL_S = 2.5
+# The settings: from when a purge that was told binds (with the slack of sockets), and by when all copies go.
+BINDS_AFTER_MS = 1050.0
+GONE_AFTER_S = 6.0
 
-EXTRAS = """[signed]
-listen = "{listen}"
-base = "https://cameras.example"
-issuers = ["Reefline"]
-audience = "thornjunction"
-algorithms = ["HS256"]
-sign_with = "k1"
-keyset = "jwks.json"
-"""
+# When, after the router is paused: the purge, the clients' requests, and the end of the pause.
+PURGED_S = 0.1
+REQUESTED_S = 2.3
+CONTINUED_S = 2.5
 
+OBJECT = "7f3a9c21e0b4d655"
+GROUP = 17
+CONNECTIONS = 3
+# Age of the copies that the boxes hold at the start.
+COPY_AGE_MS = 30_000.0
 
-async def answer_at_once(want: Want) -> Reply:
-    """Answer any request from a new copy."""
-    since_ms = round(time.time() * 1000)
-    return Reply("DONE", f"rev=t1,since={since_ms}", want.fields.get("thing", "").encode())
 
+def unix_ms() -> float:
+    """Return the system's Unix clock in ms."""
+    return time.time() * 1000.0
 
-def write_extras(folder: Path) -> Path:
-    """Write the operators' file and its key set; return its path."""
-    key = base64.urlsafe_b64encode(secrets.token_bytes(32)).rstrip(b"=").decode()
-    keys = {"keys": [{"kty": "oct", "kid": "k1", "alg": "HS256", "k": key}]}
-    (folder / "jwks.json").write_text(json.dumps(keys), encoding="utf-8")
-    path = folder / "extras.toml"
-    path.write_text(EXTRAS.format(listen=f"{LOOPBACK}:{free_port()}"), encoding="utf-8")
-    return path
+
+@dataclass
+class Served:
+    """One answer of a box: when the request came, and when the origin gave out the copy (Unix ms)."""
+
+    arrived_ms: float
+    copy_ms: float
+
+
+class Boxes:
+    """Boxes that hold the object, drop its old copy 6 s after a purge, and fill a miss from the origin."""
+
+    def __init__(self, record: Record) -> None:
+        self.purged_ms: float | None = None
+        self.served: list[Served] = []
+        self._record = record
+        self._copy_ms: dict[str, float] = {}
+        self._oldest_ms = unix_ms() - COPY_AGE_MS
+
+    async def handle(self, want: Want) -> Reply | None:
+        """Answer from the copy at the box if it is young enough, else from a new one of the origin."""
+        now_ms = unix_ms()
+        limit_ms = float(want.fields.get("cap", "0"))
+        copy_ms = self._copy_ms.get(want.server, self._oldest_ms)
+        if self.purged_ms is not None and now_ms > self.purged_ms + GONE_AFTER_S * 1000.0:
+            copy_ms = max(copy_ms, self.purged_ms)
+        if limit_ms and now_ms - copy_ms > limit_ms:
+            if "up" not in want.fields:
+                return Reply("LACK")
+            copy_ms = now_ms
+        self._copy_ms[want.server] = copy_ms
+        self.served.append(Served(now_ms, copy_ms))
+        cap = want.fields.get("cap", "-")
+        self._record.write("run", server=want.server, id=want.request_id, cap=cap, copy=f"{copy_ms:.0f}")
+        return Reply("DONE", f"rev=t{copy_ms:.0f},since={copy_ms:.0f}", b"chart")
 
 
 class Clients:
-    """Clients of the platform's front, each request on a new connection."""
+    """Clients of the front with open connections."""
 
     def __init__(self, platform: Platform) -> None:
-        self.outcomes: Counter[str] = Counter()
         self._platform = platform
+        self._record = platform.record
+        self._connections: list[FastCgiClient] = []
+
+    async def connect(self) -> None:
+        """Open the connections."""
+        for _ in range(CONNECTIONS):
+            self._connections.append(await FastCgiClient.connect(self._platform.listen))
 
     async def ask(self) -> None:
-        """Send one request and wait for its answer, 50 ms longer than its time."""
-        answer = await self._answer()
-        outcome = "no connection" if answer is None else answer.outcome
-        self.outcomes[outcome] += 1
-        if outcome != "served":
-            self._platform.record.write("answered", outcome=repr(outcome))
-
-    async def _answer(self) -> Answer | None:
-        try:
-            client = await FastCgiClient.connect(self._platform.listen)
-        except OSError:
-            return None
-        params = {
-            "SCRIPT_NAME": "/do/readings",
-            "HTTP_X_TXN": secrets.token_hex(8),
-            "HTTP_X_TTL_MS": str(round(TTL_S * 1000)),
-            "HTTP_X_ROW": secrets.token_hex(8),
-            "HTTP_X_GROUP": "17",
-            "HTTP_X_WORKING_SET_KB": "40",
-        }
-        _, future = client.send(params)
-        try:
-            return await asyncio.wait_for(future, TTL_S + 0.05)
-        except TimeoutError:
-            return LOST
-        finally:
-            client.close()
-
-    async def load(self, seconds: float) -> None:
-        """Send requests at a steady rate, and wait for all answers."""
-        until_s = time.monotonic() + seconds
-        asking = []
-        while time.monotonic() < until_s:
-            asking.append(asyncio.create_task(self.ask()))
-            await asyncio.sleep(INTERVAL_S)
-        await asyncio.gather(*asking)
-
-
-async def replace(platform: Platform, arguments: str) -> RouterProcess:
-    """Start ``run`` again, as the platform does; return the new process."""
-    admin = (LOOPBACK, free_port())
-    new = await platform.run("new", arguments, PROXY_ADMIN_ADDR=f"{LOOPBACK}:{admin[1]}")
-    await platform.says_yes_within(admin, new, 4.0)
-    return new
-
-
-async def restart(platform: Platform, clients: Clients) -> None:
-    """Begin a planned restart, and go on to connect for 0.2 s, as the front does."""
-    platform.processes[0].signal(signal.SIGTERM)
+        """Ask for the object once on each connection, and wait for all answers."""
+        answers = []
+        for client in self._connections:
+            params = {
+                "SCRIPT_NAME": "/do/clips",
+                "HTTP_X_TXN": secrets.token_hex(8),
+                "HTTP_X_TTL_MS": "5000",
+                "HTTP_X_ROW": OBJECT,
+                "HTTP_X_GROUP": str(GROUP),
+                "HTTP_X_WORKING_SET_KB": "412.5",
+            }
+            self._record.write("send", id=params["HTTP_X_TXN"])
+            answers.append(client.send(params)[1])
+        for answer in await asyncio.wait_for(asyncio.gather(*answers), 6.0):
+            self._record.write("answered", status=answer.status, outcome=answer.outcome)
+
+
+async def purge_while_paused(platform: Platform, boxes: Boxes, clients: Clients) -> None:
+    """Pause the router during a poll, purge the object, ask for it, and continue the router."""
+    router = platform.processes[0]
+    platform.discovery.poll_arrived.clear()
+    await asyncio.wait_for(platform.discovery.poll_arrived.wait(), 5.0)
+    if has_trouble():
+        router.signal(signal.SIGSTOP)
     began_s = time.monotonic()
-    asking = []
-    for at_s in AFTER_SIGTERM_S:
-        await asyncio.sleep(began_s + at_s - time.monotonic())
-        asking.append(asyncio.create_task(clients.ask()))
-    await asyncio.gather(*asking)
-    await platform.processes[0].exited_within(5.0)
+    await asyncio.sleep(PURGED_S)
+    boxes.purged_ms = unix_ms()
+    platform.discovery.publish(drop={"id": OBJECT, "when": round(boxes.purged_ms)})
+    platform.record.write("purge", object=OBJECT, when=round(boxes.purged_ms))
+    await asyncio.sleep(began_s + REQUESTED_S - time.monotonic())
+    asking = asyncio.create_task(clients.ask())
+    await asyncio.sleep(began_s + CONTINUED_S - time.monotonic())
+    if has_trouble():
+        router.signal(signal.SIGCONT)
+    await asking
 
 
 async def case(platform: Platform) -> bool:
-    """Return whether only the old process exited, and every request got its answer."""
-    await platform.start(answer_at_once)
-    platform.hold_listening_socket()
-    arguments = f"run --extras {write_extras(platform.folder)}"
-    old = await platform.run("old", arguments, PROXY_ADMIN_ADDR=f"{LOOPBACK}:{free_port()}")
+    """Return whether no request that began 1 s after the purge was told was answered from an older copy."""
+    boxes = Boxes(platform.record)
+    await platform.start(boxes.handle)
+    await platform.run("router")
     require(await platform.is_ready_within(10.0), "the router was not ready in time")
-    during = Clients(platform)
-    loading = asyncio.create_task(during.load(LOAD_S))
-    has_crashed = False
-    if has_trouble():
-        await asyncio.sleep(0.5)
-        new = await replace(platform, arguments)
-        has_crashed = new.exit_code is not None
-        platform.record.write("new process", exit_code=new.exit_code)
-    await loading
-    platform.record.write("before the restart", **dict(during.outcomes))
-    require(old.exit_code is None, "the old process has exited")
-    after = Clients(platform)
-    if has_trouble() and not has_crashed:
-        old.signal(signal.SIGTERM)
-        await after.load(0.5)
-    else:
-        await restart(platform, after)
-    platform.record.write("after SIGTERM", **dict(after.outcomes))
-    outcomes = during.outcomes + after.outcomes
-    return not has_crashed and set(outcomes) == {"served"}
+    clients = Clients(platform)
+    await clients.connect()
+    await clients.ask()
+    before = len(boxes.served)
+    require(before, "no request came to a box")
+    await purge_while_paused(platform, boxes, clients)
+    after = boxes.served[before:]
+    require(after, "no request came to a box after the purge")
+    purged_ms = boxes.purged_ms or 0.0
+    broken = [s for s in after if s.arrived_ms > purged_ms + BINDS_AFTER_MS and s.copy_ms < purged_ms]
+    for served in broken:
+        platform.record.write(
+            "old copy",
+            sent_after_ms=round(served.arrived_ms - purged_ms),
+            older_by_ms=round(purged_ms - served.copy_ms),
+        )
+    platform.record.write("answers", after_purge=len(after), from_older_copies=len(broken))
+    return not broken
 
 
 if __name__ == "__main__":
