Review case 3: a configuration without a class's group is taken, and requests run twice

Cause: at SIGHUP the keys of a new file are compared with those of the file before, except the keys inside lists. A class without its group gets the default, all.

Change: review/3 has the claim and its script, and the stand-ins list cells and can replace a configuration.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A router that is paused for 2.5 s while an object is purged and clients ask for it."""
+"""A new configuration that lacks a key of a request class, and keyed requests after it."""
 
 from __future__ import annotations
 
@@ -7,146 +7,120 @@
 import signal
 import sys
 import time
-from dataclasses import dataclass
 from pathlib import Path
 
 from standins.fastcgi import FastCgiClient
-from standins.platform import Platform, has_trouble, play, require
+from standins.platform import LOOPBACK, Platform, ask_admin, free_port, has_trouble, play, require
 from standins.record import Record
+from standins.settings import SERVERS
 from standins.shelf import Reply, Want
 
-# The settings: from when a purge that was told binds (with the slack of sockets), and by when all copies go.
-BINDS_AFTER_MS = 1050.0
-GONE_AFTER_S = 6.0
+# The class, which the settings of this run make keyed, with repeats dropped by the shelfs of one cell.
+CLASS_NAME = "readings"
+WINDOW_S = 6.0
+CELLS = {name: cell for name, _, _, cell in SERVERS}
 
-# When, after the router is paused: the purge, the clients' requests, and the end of the pause.
-PURGED_S = 0.1
-REQUESTED_S = 2.3
-CONTINUED_S = 2.5
+REQUESTS = 60
+INTERVAL_S = 0.03
+# The shelf that runs it first answers each fifth request with an error, also when it comes again.
+ERROR_EVERY = 5
+TTL_MS = 2500
+# The page: clients use what a new configuration brings 1.2 s later.
+SETTLED_S = 1.2
 
-OBJECT = "7f3a9c21e0b4d655"
-GROUP = 17
-CONNECTIONS = 3
-# Age of the copies that the boxes hold at the start.
-COPY_AGE_MS = 30_000.0
 
-
-def unix_ms() -> float:
-    """Return the system's Unix clock in ms."""
-    return time.time() * 1000.0
-
-
-@dataclass
-class Served:
-    """One answer of a box: when the request came, and when the origin gave out the copy (Unix ms)."""
-
-    arrived_ms: float
-    copy_ms: float
-
-
-class Boxes:
-    """Boxes that hold the object, drop its old copy 6 s after a purge, and fill a miss from the origin."""
+class Shelves:
+    """Shelfs that run a keyed request at once, and drop its repeats in their own cell."""
 
     def __init__(self, record: Record) -> None:
-        self.purged_ms: float | None = None
-        self.served: list[Served] = []
+        # The cells in which each request has run, by key.
+        self.applied: dict[str, list[int]] = {}
         self._record = record
-        self._copy_ms: dict[str, float] = {}
-        self._oldest_ms = unix_ms() - COPY_AGE_MS
-
-    async def handle(self, want: Want) -> Reply | None:
-        """Answer from the copy at the box if it is young enough, else from a new one of the origin."""
-        now_ms = unix_ms()
-        limit_ms = float(want.fields.get("cap", "0"))
-        copy_ms = self._copy_ms.get(want.server, self._oldest_ms)
-        if self.purged_ms is not None and now_ms > self.purged_ms + GONE_AFTER_S * 1000.0:
-            copy_ms = max(copy_ms, self.purged_ms)
-        if limit_ms and now_ms - copy_ms > limit_ms:
-            if "up" not in want.fields:
-                return Reply("LACK")
-            copy_ms = now_ms
-        self._copy_ms[want.server] = copy_ms
-        self.served.append(Served(now_ms, copy_ms))
-        cap = want.fields.get("cap", "-")
-        self._record.write("run", server=want.server, id=want.request_id, cap=cap, copy=f"{copy_ms:.0f}")
-        return Reply("DONE", f"rev=t{copy_ms:.0f},since={copy_ms:.0f}", b"chart")
-
-
-class Clients:
-    """Clients of the front with open connections."""
-
-    def __init__(self, platform: Platform) -> None:
-        self._platform = platform
-        self._record = platform.record
-        self._connections: list[FastCgiClient] = []
-
-    async def connect(self) -> None:
-        """Open the connections."""
-        for _ in range(CONNECTIONS):
-            self._connections.append(await FastCgiClient.connect(self._platform.listen))
-
-    async def ask(self) -> None:
-        """Ask for the object once on each connection, and wait for all answers."""
-        answers = []
-        for client in self._connections:
-            params = {
-                "SCRIPT_NAME": "/do/clips",
-                "HTTP_X_TXN": secrets.token_hex(8),
-                "HTTP_X_TTL_MS": "5000",
-                "HTTP_X_ROW": OBJECT,
-                "HTTP_X_GROUP": str(GROUP),
-                "HTTP_X_WORKING_SET_KB": "412.5",
-            }
-            self._record.write("send", id=params["HTTP_X_TXN"])
-            answers.append(client.send(params)[1])
-        for answer in await asyncio.wait_for(asyncio.gather(*answers), 6.0):
-            self._record.write("answered", status=answer.status, outcome=answer.outcome)
-
-
-async def purge_while_paused(platform: Platform, boxes: Boxes, clients: Clients) -> None:
-    """Pause the router during a poll, purge the object, ask for it, and continue the router."""
-    router = platform.processes[0]
-    platform.discovery.poll_arrived.clear()
-    await asyncio.wait_for(platform.discovery.poll_arrived.wait(), 5.0)
-    if has_trouble():
-        router.signal(signal.SIGSTOP)
-    began_s = time.monotonic()
-    await asyncio.sleep(PURGED_S)
-    boxes.purged_ms = unix_ms()
-    platform.discovery.publish(drop={"id": OBJECT, "when": round(boxes.purged_ms)})
-    platform.record.write("purge", object=OBJECT, when=round(boxes.purged_ms))
-    await asyncio.sleep(began_s + REQUESTED_S - time.monotonic())
-    asking = asyncio.create_task(clients.ask())
-    await asyncio.sleep(began_s + CONTINUED_S - time.monotonic())
+        self._seen_at_s: dict[tuple[int, str], float] = {}
+        # The shelf that answers a request with errors, by key.
+        self._failing: dict[str, str] = {}
+
+    async def handle(self, want: Want) -> Reply:
+        """Run a request unless its cell has seen its key within the window; then answer."""
+        key = want.fields["replay"]
+        cell = CELLS[want.server]
+        now_s = time.monotonic()
+        is_first = key not in self.applied
+        is_repeat = now_s - self._seen_at_s.get((cell, key), -WINDOW_S) < WINDOW_S
+        if not is_repeat:
+            self._seen_at_s[cell, key] = now_s
+            self.applied.setdefault(key, []).append(cell)
+        if is_first and len(self.applied) % ERROR_EVERY == 0:
+            self._failing[key] = want.server
+        word = "BROKE" if self._failing.get(key) == want.server else "DONE"
+        effect = "repeat dropped" if is_repeat else "applied"
+        if key in self._failing:
+            self._record.write(
+                "run", server=want.server, cell=cell, key=key[:6], effect=repr(effect), answer=word
+            )
+        if word == "BROKE":
+            return Reply(word)
+        return Reply(word, f"rev=t1,since={time.time() * 1000:.0f}", b"ok")
+
+
+def make_keyed(platform: Platform) -> None:
+    """Give the class its effect in the settings."""
+    for request_class in platform.settings["classes"]:
+        if request_class["name"] == CLASS_NAME:
+            request_class |= {"idempotency": "keyed", "group": "cell", "memorySpanMs": WINDOW_S * 1000.0}
+
+
+async def reload(platform: Platform, admin: tuple[str, int]) -> None:
+    """Replace the configuration and send SIGHUP; with the disruption the class lacks its key ``group``."""
     if has_trouble():
-        router.signal(signal.SIGCONT)
-    await asking
+        for request_class in platform.settings["classes"]:
+            if request_class["name"] == CLASS_NAME:
+                del request_class["group"]
+    platform.write_config("router")
+    platform.record.write("new configuration", lacks="classes[].group" if has_trouble() else "nothing")
+    platform.processes[0].signal(signal.SIGHUP)
+    await asyncio.sleep(SETTLED_S)
+    for line in (await ask_admin(admin, "vars", "--")).splitlines():
+        if "cfg_" in line:
+            platform.record.write("vars", line=line)
+
+
+async def send_requests(platform: Platform) -> None:
+    """Send the requests on one connection, each under a key of its own, and wait for all answers."""
+    client = await FastCgiClient.connect(platform.listen)
+    answers = []
+    for _ in range(REQUESTS):
+        params = {
+            "SCRIPT_NAME": f"/do/{CLASS_NAME}",
+            "HTTP_X_TXN": secrets.token_hex(8),
+            "HTTP_X_TXN_KEY": secrets.token_hex(16),
+            "HTTP_X_TTL_MS": str(TTL_MS),
+            "HTTP_X_ROW": secrets.token_hex(8),
+            "HTTP_X_GROUP": "17",
+            "HTTP_X_WORKING_SET_KB": "40",
+        }
+        answers.append(client.send(params)[1])
+        await asyncio.sleep(INTERVAL_S)
+    outcomes = [answer.outcome for answer in await asyncio.wait_for(asyncio.gather(*answers), 5.0)]
+    counts = {outcome: outcomes.count(outcome) for outcome in sorted(set(outcomes))}
+    platform.record.write("answered", **counts)
 
 
 async def case(platform: Platform) -> bool:
-    """Return whether no request that began 1 s after the purge was told was answered from an older copy."""
-    boxes = Boxes(platform.record)
-    await platform.start(boxes.handle)
-    await platform.run("router")
+    """Return whether no request ran in two cells."""
+    shelves = Shelves(platform.record)
+    make_keyed(platform)
+    await platform.start(shelves.handle)
+    admin = (LOOPBACK, free_port())
+    await platform.run("router", PROXY_ADMIN_ADDR=f"{LOOPBACK}:{admin[1]}")
     require(await platform.is_ready_within(10.0), "the router was not ready in time")
-    clients = Clients(platform)
-    await clients.connect()
-    await clients.ask()
-    before = len(boxes.served)
-    require(before, "no request came to a box")
-    await purge_while_paused(platform, boxes, clients)
-    after = boxes.served[before:]
-    require(after, "no request came to a box after the purge")
-    purged_ms = boxes.purged_ms or 0.0
-    broken = [s for s in after if s.arrived_ms > purged_ms + BINDS_AFTER_MS and s.copy_ms < purged_ms]
-    for served in broken:
-        platform.record.write(
-            "old copy",
-            sent_after_ms=round(served.arrived_ms - purged_ms),
-            older_by_ms=round(purged_ms - served.copy_ms),
-        )
-    platform.record.write("answers", after_purge=len(after), from_older_copies=len(broken))
-    return not broken
+    await asyncio.sleep(1.0)  # SIGHUP never comes within the first second
+    await reload(platform, admin)
+    await send_requests(platform)
+    twice = [key for key, cells in shelves.applied.items() if len(cells) > 1]
+    platform.record.write("effects", requests=len(shelves.applied), applied_twice=len(twice))
+    require(len(shelves.applied) >= ERROR_EVERY, "too few requests came to a shelf")
+    return not twice
 
 
 if __name__ == "__main__":
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import os
 import signal
@@ -81,6 +82,7 @@
         self.folder = folder
         self.discovery = Discovery()
         self.listen = (LOOPBACK, free_port())
+        self.settings = copy.deepcopy(SETTINGS)
         self.shelves: dict[str, Shelf] = {}
         self._listening: socket.socket | None = None
         self.processes: list[RouterProcess] = []
@@ -88,7 +90,7 @@
     async def start(self, handler: Handler) -> None:
         """Start the servers, which all use this handler, and discovery, which lists them."""
         hosts = []
-        for name, kind, zone in SERVERS:
+        for name, kind, zone, cell in SERVERS:
             shelf = self.shelves[name] = Shelf(name, handler)
             await shelf.start()
             host, port = shelf.address
@@ -98,7 +100,7 @@
                     "dial": f"{host}:{port}",
                     "site": zone,
                     "class": kind,
-                    "block": 0,
+                    "block": cell,
                     "health": "active",
                     "share": 6,
                     "born_ms": 0,
@@ -126,13 +128,20 @@
             "flow_bytes_per_s": 310000,
             "link_bytes_per_s": 1240000,
             "known": self.discovery.known(),
-            "settings": SETTINGS,
+            "settings": self.settings,
         }
 
+    def write_config(self, name: str) -> Path:
+        """Write the configuration of a process, in place of an earlier one; return its path."""
+        path = self.folder / f"{name}.json"
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps(self.config()), encoding="utf-8")
+        new.replace(path)
+        return path
+
     async def run(self, name: str, arguments: str = "", **variables: str) -> RouterProcess:
         """Start ``run`` from the root, as the platform does."""
-        config = self.folder / f"{name}.json"
-        config.write_text(json.dumps(self.config()), encoding="utf-8")
+        config = self.write_config(name)
         temporary = self.folder / "tmp"
         temporary.mkdir(exist_ok=True)
         environ = {
@@ -194,16 +203,24 @@
             self._listening.close()
 
 
-async def ask_admin(address: tuple[str, int], call: str) -> str:
-    """Return the first line of the reply to a call of the second address; empty if there is none."""
+async def ask_admin(address: tuple[str, int], call: str, last_line: str = "") -> str:
+    """Return the reply to a call of the second address, empty if there is none.
+
+    The reply is its first line, or all lines up to ``last_line``.
+    """
+    lines = []
     try:
         reader, writer = await asyncio.open_connection(*address)
         writer.write(call.encode() + b"\n")
-        line = await asyncio.wait_for(reader.readline(), 1.0)
+        while not lines or last_line not in ("", lines[-1]):
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            if not line:
+                break
+            lines.append(line.decode().strip())
     except (OSError, TimeoutError):
         return ""
     writer.close()
-    return line.decode().strip()
+    return "\n".join(lines)
 
 
 class CannotRunError(Exception):
--- a/review/standins/settings.py
+++ b/review/standins/settings.py
@@ -94,11 +94,13 @@
     "zones": ["north-hub", "south-hub", ZONE, "edge-2"],
 }
 
-# Name, kind and zone of each listed server.
+# Name, kind, zone and cell of each listed server.
 SERVERS = (
-    ("s-1", "small-box", ZONE),
-    ("s-2", "large-box", ZONE),
-    ("p-1", "parent", "north-hub"),
-    ("p-2", "parent", "south-hub"),
-    ("o-1", "origin", "north-hub"),
+    ("s-1", "small-box", ZONE, 1),
+    ("s-2", "small-box", ZONE, 1),
+    ("s-3", "large-box", ZONE, 2),
+    ("s-4", "large-box", ZONE, 2),
+    ("p-1", "parent", "north-hub", 0),
+    ("p-2", "parent", "south-hub", 0),
+    ("o-1", "origin", "north-hub", 0),
 )
