--- a/review/1/case.py
+++ b/review/1/case.py
@@ -109,7 +109,7 @@
     old = platform.processes[0]
     admin = (LOOPBACK, free_port())
     new = await platform.run("new", PROXY_ADMIN_ADDR=f"{LOOPBACK}:{admin[1]}")
-    require(await platform.says_yes_within(admin, new, 2.0), "the new process was not ready in time")
+    require(await platform.says_yes_within(admin, new, 2.5), "the new process was not ready in time")
     old.signal(signal.SIGTERM)
 
 
