Review: a case's script gives no verdict on an exception, and ends what it started

Cause: an exception in a case's program ended it with 1, which means a broken rule, and SIGTERM left its routers running.

--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -23,7 +23,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, COULD_NOT_RUN, BROKEN = 0, 2, 10
 SOCKET_FD = 7
 LONGEST_RUN_S = 110.0
 
@@ -242,7 +242,7 @@
         platform = Platform(record, Path(folder))
         try:
             is_held = await asyncio.wait_for(case(platform), LONGEST_RUN_S)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except Exception as error:  # anything that is no verdict
             record.write("could not run", cause=repr(error))
             return COULD_NOT_RUN
         finally:
@@ -252,7 +252,11 @@
 
 
 def play(case: Case, folder: Path) -> int:
-    """Play a case with a record in its folder; return the exit code of its script."""
+    """Play a case with a record in its folder; return the exit code of its program.
+
+    SIGTERM ends it as Ctrl-C does, so that the processes that it started are ended too.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     null = os.open(os.devnull, os.O_RDONLY)
     os.dup2(null, SOCKET_FD, inheritable=False)  # keeps the number free for the listening socket
     os.close(null)
