Slow clients are not reset while they read, on open and on closing connections

Cause: the time limit began when the process's send buffer filled and ended only when it was empty, which it never is while answers are written as fast as the client reads. The byte budget likewise counted all bytes written since.

A measure of the process's buffer alone was not taken: the system accepts megabytes at once and more only after a third was read. The byte budget counts unsent bytes and measures again before it evicts. Same cause on related paths: the time limit of a closing connection (drain, eviction, byte budget) begins once all answers were read; those that have read all are reset first beyond the bound; SIGTERM waits for unsent answers as it does for open requests.

Two tests of test_buffered_bytes.py used pauseProducing alone for a client that does not read; the fake transport now models what it has read, and the assertions are unchanged.

--- a/tests/net/downstream/builders.py
+++ b/tests/net/downstream/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -26,6 +27,7 @@
 from thornjunction.net.downstream.connection_table import DownstreamTable
 from thornjunction.net.downstream.fastcgi_front import FastCgiConnection, FastCgiRequestContext
 from thornjunction.net.downstream.signed_front import SignedConnection, SignedRequestContext
+from thornjunction.net.downstream.unread_responses import TCP_INFO
 from thornjunction.net.wire import fastcgi
 from thornjunction.signing import tokens
 from thornjunction.signing.replay import ReplayWindow
@@ -82,16 +84,72 @@
 both_fronts = pytest.mark.parametrize("front", [FASTCGI, SIGNED], ids=lambda front: front.name)
 
 
+@dataclass(slots=True)
+class FakeSocket:
+    """The send queue of a socket in the system: bytes that it has accepted, and that the client has read."""
+
+    accepted_bytes: int = 0
+    acknowledged_bytes: int = 0
+
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Return ``struct tcp_info``."""
+        assert (level, option, size) == (socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+        return TCP_INFO.pack(0, self.acknowledged_bytes, self.accepted_bytes - self.acknowledged_bytes)
+
+
 class FakeTransport(StringTransport):
-    """A transport that keeps written bytes; ``is_write_shut``: whether the sending side is shut down."""
+    """A transport that keeps written bytes.
+
+    Attributes:
+        is_write_shut: whether the sending side is shut down.
+        socket: the socket, which accepts as many bytes as the client has read.
+    """
 
     is_write_shut = False
+    dataBuffer = b""  # noqa: N815
+    offset = 0
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.socket = FakeSocket()
+        self._written_bytes = 0
+        self._is_reading = True
+
+    @property
+    def _tempDataLen(self) -> int:  # noqa: N802
+        """Number of written bytes that the socket has not accepted."""
+        return self._written_bytes - self.socket.accepted_bytes
+
+    def write(self, data: bytes) -> None:
+        super().write(data)
+        self._written_bytes += len(data)
+        if self._is_reading:
+            self.read(len(data))
+
+    def stop_reading(self) -> None:
+        """Leave all later responses unread; the send buffer is full."""
+        self._is_reading = False
+        self.producer.pauseProducing()
+
+    def read(self, size_bytes: int) -> None:
+        """Read a number of bytes; the socket accepts as many more."""
+        read_bytes = self.socket.acknowledged_bytes + size_bytes
+        assert read_bytes <= self._written_bytes
+        self.socket.acknowledged_bytes = read_bytes
+        self.socket.accepted_bytes = read_bytes
+
+    def read_all(self) -> None:
+        """Read all responses, also later ones."""
+        self._is_reading = True
+        self.read(self._tempDataLen)
+        if self.producer is not None:
+            self.producer.resumeProducing()
 
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         pass
 
-    def getHandle(self) -> None:  # noqa: N802
-        pass
+    def getHandle(self) -> FakeSocket:  # noqa: N802
+        return self.socket
 
     def loseWriteConnection(self) -> None:  # noqa: N802
         self.is_write_shut = True
--- a/tests/net/downstream/test_buffered_bytes.py
+++ b/tests/net/downstream/test_buffered_bytes.py
@@ -22,7 +22,7 @@
     partial_request = front.request()[:30]
     small.dataReceived(partial_request)
     reader.dataReceived(front.request())
-    reader.pauseProducing()
+    reader.transport.stop_reading()
     clients.core.replies[0](Served(Content(bytes(2000))))
     assert clients.table.budget.reserved_bytes > 2000
     large.dataReceived(
@@ -33,7 +33,7 @@
     assert small.end_reason == ""
     assert large.end_reason == "memory"
     assert reader.end_reason == ""
-    reader.resumeProducing()
+    reader.transport.read_all()
     small.abort("done")
     for connection in (small, large, reader):
         connection.connectionLost()
@@ -65,6 +65,7 @@
     clients: ClientConnections, front: Front
 ) -> None:
     connection = clients.connect(front)
+    connection.transport.stop_reading()
     for _ in range(5):
         connection.dataReceived(front.request())
         clients.core.replies[-1](SERVED)
--- a/tests/repository/test_page_paths.py
+++ b/tests/repository/test_page_paths.py
@@ -16,6 +16,7 @@
     ROOT / "CONTRIBUTING.md",
     *sorted((ROOT / "docs").glob("*.md")),
     *sorted((ROOT / "docs" / "design").glob("*.md")),
+    *sorted((ROOT / "docs" / "incidents").glob("*.md")),
 ]
 # Named on pages, but not in the repository: operators create it if they need one of its sections.
 OPERATORS_FILES = {"deploy/extras.toml"}
--- a/thornjunction/net/downstream/connection.py
+++ b/thornjunction/net/downstream/connection.py
@@ -10,9 +10,10 @@
 from zope.interface import implementer  # type: ignore[import-untyped]
 
 from thornjunction.memory.deadlines import Deadline, Deadlines
-from thornjunction.net.downstream.buffered_bytes import STALL_TIMEOUT_MS, BufferedBytes
+from thornjunction.net.downstream.buffered_bytes import BufferedBytes
 from thornjunction.net.downstream.connection_state import ConnectionState
 from thornjunction.net.downstream.connection_table import DownstreamTable
+from thornjunction.net.downstream.front_requests import FrontRequests
 from thornjunction.net.downstream.lingering_close import (
     LINGER_TIMEOUT_MS,
     SHORT_LINGER_TIMEOUT_MS,
@@ -20,6 +21,13 @@
 )
 from thornjunction.net.downstream.pending_input import receive_pending
 from thornjunction.net.downstream.request_times import CHECK_INTERVAL_MS, RequestTimes
+from thornjunction.net.downstream.unread_responses import (
+    READ_CHECK_INTERVAL_MS,
+    Reading,
+    StallDetector,
+    has_unread_responses,
+    unsent_bytes,
+)
 from thornjunction.net.event_loop.disconnect_reasons import (
     ConnectionKind,
     DisconnectReason,
@@ -30,7 +38,7 @@
 
 
 @implementer(IPushProducer)
-class DownstreamConnection(protocol.Protocol):
+class DownstreamConnection(FrontRequests):
     """One client connection; each front's subclass reads the requests and writes the responses.
 
     Attributes:
@@ -52,35 +60,14 @@
         self.end_reason = ""
         self.response_count = 0
         self.times = RequestTimes()
-        self.lingering_close = LingeringClose()
+        self.lingering_close = LingeringClose(deadlines, clock)
         self.buffered = BufferedBytes(table.budget)
         # Why the connection will end once no request is open; empty if no end is planned.
         self._planned_end_reason = ""
         self._ended_with_open_request = False
         self._time_check: Deadline | None = None
-        self._stall_deadline: Deadline | None = None
-
-    # Methods that each front implements
-
-    def has_open_request(self) -> bool:
-        """Whether a request on this connection has no response yet."""
-        raise NotImplementedError
-
-    def partial_request_bytes(self) -> int:
-        """Return the number of buffered bytes of partly received requests."""
-        raise NotImplementedError
-
-    def abandon_requests(self) -> None:
-        """Discard all requests and abandon those in the core: no response can be sent any more."""
-        raise NotImplementedError
-
-    def answer_open_requests(self) -> None:
-        """Answer all open requests now: those in the core as failed, the others as rejected."""
-        raise NotImplementedError
-
-    def drop_partial_request(self) -> None:
-        """Discard the bytes of partly received requests."""
-        raise NotImplementedError
+        self._stall_detector = StallDetector()
+        self._stall_check: Deadline | None = None
 
     # Start and end of the connection (called by Twisted)
 
@@ -100,8 +87,8 @@
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         """Release the slot, timers and buffers, log the end and abandon the requests."""
         self.deadlines.cancel(self._time_check)
-        self.deadlines.cancel(self._stall_deadline)
-        self.lingering_close.cancel(self.deadlines)
+        self.deadlines.cancel(self._stall_check)
+        self.lingering_close.cancel()
         self.state = ConnectionState.CLOSED
         self.end_reason = self.end_reason or disconnect_reason(reason)
         self.table.remove(self)
@@ -131,10 +118,9 @@
         if self._planned_end_reason and self._is_planned_end_due():
             self.close_lingering(self._planned_end_reason)
             return
-        partial_request_bytes = self.partial_request_bytes()
-        self.times.update(self.clock(), partial_request_bytes > 0, request_completed)
+        self.times.update(self.clock(), self.partial_request_bytes() > 0, request_completed)
         self.table.update_idle(self, self.has_open_request())
-        self.buffered.reserve(self._free_buffers, partial_request_bytes)
+        self.buffered.reserve(self._free_buffers, self._buffered_bytes)
 
     def _is_planned_end_due(self) -> bool:
         """Whether no request is open; unless half-closed, the connection must also have received one."""
@@ -158,8 +144,6 @@
         """Write a complete response."""
         self.response_count += 1
         self.transport.write(data)
-        if self.buffered.is_write_paused:
-            self.buffered.unsent_bytes += len(data)
 
     def discard(self, data: bytes) -> None:
         """Discard bytes that the connection's state does not allow to be read as requests.
@@ -206,11 +190,12 @@
         if self.lingering_close.has_begun:
             return
         self._end(reason, ConnectionState.LINGERING)
-        due_ms = self.clock() + timeout_ms
-        self.lingering_close.begin(self.deadlines, due_ms, lambda: self.abort(reason))
-        self.buffered.reserve(self._free_buffers, 0)
+        if not self.buffered.is_write_paused:
+            self._stall_detector.start(self.clock(), self.transport)
+        self.buffered.reserve(self._free_buffers, self._buffered_bytes)
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
+        self.lingering_close.begin(timeout_ms, self._check_reading, lambda: self.abort(reason))
         self.table.move_to_lingering(self)
 
     def close_if_idle(self) -> None:
@@ -238,6 +223,18 @@
         self.deadlines.cancel(self._time_check)
         self.abandon_requests()
 
+    def has_unread_responses(self) -> bool:
+        """Whether the client has not received all responses, or one may still be written."""
+        return not self.state.has_ended or has_unread_responses(self.transport)
+
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes of responses that the system has not accepted yet."""
+        return unsent_bytes(self.transport)
+
+    def _buffered_bytes(self) -> int:
+        partial_request_bytes = 0 if self.state.has_ended else self.partial_request_bytes()
+        return partial_request_bytes + (self.unsent_bytes() if self.buffered.is_write_paused else 0)
+
     def _free_buffers(self, reason: str) -> None:
         """Free the buffered bytes (called by the budget for the connection that buffers the most).
 
@@ -269,19 +266,32 @@
     # Backpressure (called by Twisted)
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Start the stall timeout, as a client that does not read keeps its responses in memory."""
+        """Begin to check that the client reads, as its responses wait in memory from now on."""
         if self.buffered.is_write_paused:  # Twisted calls this method again on each write
             return
         self.buffered.is_write_paused = True
-        stalled_at_ms = self.clock() + STALL_TIMEOUT_MS
-        self._stall_deadline = self.deadlines.add(stalled_at_ms, lambda: self.abort(DisconnectReason.STALLED))
+        self._stall_detector.start(self.clock(), self.transport)
+        self._schedule_stall_check()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Stop the stall timeout: all responses were sent."""
-        self.buffered.resume_writing()
-        self.deadlines.cancel(self._stall_deadline)
-        self.buffered.reserve(self._free_buffers, 0 if self.state.has_ended else self.partial_request_bytes())
+        """End the checks: all responses were passed to the system."""
+        self.buffered.is_write_paused = False
+        self.deadlines.cancel(self._stall_check)
+        self.buffered.reserve(self._free_buffers, self._buffered_bytes)
 
     def stopProducing(self) -> None:  # noqa: N802
-        """Stop the stall timeout: the connection has ended."""
-        self.deadlines.cancel(self._stall_deadline)
+        """End the checks: the connection has ended."""
+        self.deadlines.cancel(self._stall_check)
+
+    def _schedule_stall_check(self) -> None:
+        due_ms = self.clock() + READ_CHECK_INTERVAL_MS
+        self._stall_check = self.deadlines.add(due_ms, self._abort_if_stalled)
+
+    def _abort_if_stalled(self) -> None:
+        if self._check_reading() is Reading.STALLED:
+            self.abort(DisconnectReason.STALLED)
+        elif self.state is not ConnectionState.LINGERING:  # a lingering close has checks of its own
+            self._schedule_stall_check()
+
+    def _check_reading(self) -> Reading:
+        return self._stall_detector.check(self.clock(), self.transport)
--- a/thornjunction/net/downstream/connection_table.py
+++ b/thornjunction/net/downstream/connection_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from itertools import islice
+from itertools import chain, islice
 from typing import Protocol
 
 from thornjunction.memory.budget import ByteBudget
@@ -30,6 +30,12 @@
     def has_open_request(self) -> bool:
         """Whether a request on this connection has no response yet."""
 
+    def has_unread_responses(self) -> bool:
+        """Whether the client has not received all responses, or one may still be written."""
+
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes of responses that the system has not accepted yet."""
+
     def handle_pending_input(self) -> None:
         """Read and handle the bytes that arrived since the event loop last read."""
 
@@ -71,6 +77,10 @@
         """The number of connections, with a slot or lingering."""
         return len(self._slots) + len(self.lingering)
 
+    def has_unsent_responses(self) -> bool:
+        """Whether the system has not accepted all responses of a connection, with a slot or lingering."""
+        return any(connection.unsent_bytes() for connection in chain(self._slots, self.lingering))
+
     def add(self, connection: TableConnection) -> int | None:
         """Put a connection into a slot and return the slot's number; None if no slot can be freed."""
         if self._slots.full:
@@ -103,14 +113,21 @@
     def _bound_lingering(self) -> None:
         """Reset the longest-lingering connections over the bound.
 
-        Guards against clients that never close and would use up the descriptors.
+        Guards against clients that never close and would use up the descriptors.  Clients that have read all
+        responses come first.
         """
         capacity = self._slots.capacity
         max_connections = capacity + max(capacity // LINGERING_CAPACITY_DIVISOR, 1)
         while self.lingering and self.connection_count > max_connections:
-            longest = next(iter(self.lingering))
-            del self.lingering[longest]
-            longest.abort(DisconnectReason.LINGER_EVICTED)
+            evicted = self._longest_lingering()
+            del self.lingering[evicted]
+            evicted.abort(DisconnectReason.LINGER_EVICTED)
+
+    def _longest_lingering(self) -> TableConnection:
+        for connection in islice(self.lingering, MAX_EVICTION_CANDIDATES):
+            if not connection.has_unread_responses():
+                return connection
+        return next(iter(self.lingering))
 
     def update_idle(self, connection: TableConnection, has_open_request: bool) -> None:
         """After progress on a connection, make it the last candidate for eviction, or none if it is busy."""
--- a/thornjunction/net/event_loop/ports.py
+++ b/thornjunction/net/event_loop/ports.py
@@ -64,6 +64,12 @@
     # Bytes that wait to be written; empty after ``doWrite`` if the system has accepted all of them.
     dataBuffer: bytes  # noqa: N815
 
+    # How many of the first bytes of ``dataBuffer`` the system has accepted.
+    offset: int
+
+    # Number of bytes that wait behind those of ``dataBuffer``.
+    _tempDataLen: int  # noqa: N815
+
     def write(self, data: bytes) -> None:
         """Send bytes, or buffer them until the system accepts them."""
 
--- a/thornjunction/runtime/shutdown.py
+++ b/thornjunction/runtime/shutdown.py
@@ -30,7 +30,7 @@
 # All open requests are answered earlier by the same margin, so that clients can read the last responses.
 EXIT_MARGIN_MS = 80.0
 
-# How long the process goes on after the expected time of SIGKILL while requests are open.
+# How long the process goes on after the expected time of SIGKILL while requests are open or responses unsent.
 # Exiting would certainly lose these requests; until it is killed, the process may still answer them.
 OPEN_REQUESTS_GRACE_MS = 500.0
 
@@ -104,20 +104,19 @@
     def _check_done(self) -> None:
         """Stop if all requests are answered or the time has run out; otherwise schedule another check."""
         now_ms = self._clock()
-        open_requests = len(self._engine.requests)
-        if self._is_past_exit_time(now_ms, open_requests) or not (
-            open_requests or self._clients.connection_count
-        ):
+        if self._is_past_exit_time(now_ms) or not (self._engine.requests or self._clients.connection_count):
             self._stop()
             return
         if now_ms >= self._engine.shutdown_at_ms:
             self._close_idle_connections()
         self._deadlines.add(now_ms + CHECK_INTERVAL_MS, self._check_done)
 
-    def _is_past_exit_time(self, now_ms: float, open_requests: int) -> bool:
-        if not open_requests:
-            return now_ms >= self._stop_at_ms
-        return now_ms >= self._stop_at_ms + EXIT_MARGIN_MS + OPEN_REQUESTS_GRACE_MS
+    def _is_past_exit_time(self, now_ms: float) -> bool:
+        if now_ms < self._stop_at_ms:
+            return False
+        if now_ms >= self._stop_at_ms + EXIT_MARGIN_MS + OPEN_REQUESTS_GRACE_MS:
+            return True
+        return not (self._engine.requests or self._clients.has_unsent_responses())
 
     def _close_idle_connections(self) -> None:
         for connection in self._clients:
