Processes that replace each other share which keyed requests may have run

Cause: ExecutionTable is in the memory of one process, so the new one took its own first attempt for the first of all.

An attempt under a key is recorded in one transaction before it is sent, unless the other process has an attempt there that the decisions did not know; then they are told and decide again. Zone and cell are recorded, so all three scopes hold. The table keeps each attempt under a key: a proof that one never ran used to remove the only record, also where another try had ended as possibly run meanwhile.

test_signed_tokens.py sets send times back in the table, whose shape changed; its assertions are unchanged.

Also here, for slow clients: where the system reports no acknowledgements, the bytes that it accepts count as progress; its test was not run on the code before.

--- a/tests/net/downstream/test_signed_tokens.py
+++ b/tests/net/downstream/test_signed_tokens.py
@@ -98,8 +98,11 @@
     def end_deduplication_window(self) -> None:
         """Set the send times back, so that servers no longer deduplicate the first execution."""
         executions = self.environment.engine.router.state.executions.by_key  # type: ignore[attr-defined]
-        for key, execution in list(executions.items()):
-            executions[key] = replace(execution, sent_at_ms=execution.sent_at_ms - 10_000.0)
+        for key_executions in executions.values():
+            key_executions.sent = [
+                replace(execution, sent_at_ms=execution.sent_at_ms - 10_000.0)
+                for execution in key_executions.sent
+            ]
 
     async def test_a_token_bound_to_an_address_admits_only_that_client(self) -> None:
         """RFC 9246 §2.1.10 on loopback, where the connection's peer is 127.0.0.1."""
--- a/tests/net/downstream/test_slow_clients.py
+++ b/tests/net/downstream/test_slow_clients.py
@@ -6,10 +6,12 @@
 from contextlib import suppress
 from types import SimpleNamespace
 from typing import Any
+from unittest.mock import Mock
 
+import pytest
 from fakes.config import LOOPBACK_HOST
 
-from tests.net.downstream.builders import ClientConnections, Front, both_fronts
+from tests.net.downstream.builders import ClientConnections, FakeSocket, Front, both_fronts
 from thornjunction.core.ports import Content, Served
 from thornjunction.net.downstream.connection_state import ConnectionState
 from thornjunction.net.downstream.lingering_close import SHORT_LINGER_TIMEOUT_MS
@@ -66,6 +68,18 @@
     assert connection.end_reason == DisconnectReason.STALLED
 
 
+@both_fronts
+def test_a_slow_client_is_not_disconnected_where_the_system_does_not_report_acknowledgements(
+    clients: ClientConnections, front: Front, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(FakeSocket, "getsockopt", Mock(side_effect=OSError))
+    connection = connect_with_backlog(clients, front)
+    read_slowly(clients, connection, front)
+    assert connection.state is ConnectionState.OPEN
+    clients.clock.advance(STALL_TIMEOUT_MS + READ_CHECK_INTERVAL_MS)
+    assert connection.end_reason == DisconnectReason.STALLED
+
+
 @both_fronts
 def test_responses_that_were_read_leave_the_byte_budget(front: Front) -> None:
     """Guards against the eviction of a slow client for bytes that it had read long before."""
--- a/tests/policy/test_idempotency.py
+++ b/tests/policy/test_idempotency.py
@@ -14,6 +14,7 @@
     final_actions,
 )
 from thornjunction import interface as api
+from thornjunction.limits.idempotency import KEY_LIFETIME_MS, MAX_EXECUTIONS_PER_KEY, ExecutionTable
 
 MAY_HAVE_BEEN_EXECUTED = [
     api.AttemptStatus.ERROR,
@@ -114,6 +115,71 @@
         driver.end_attempt(second)
 
 
+def test_an_attempt_that_was_not_executed_hides_no_other_one_under_its_key() -> None:
+    """Two tries overlap: the first proves not to have run after the second has ended as possibly run."""
+    driver = RouterDriver(may_cancel=False)
+    first = attempt_of(driver.request(class_name="keyed", idempotency_key="k"))
+    second = attempt_of(driver.request(class_name="keyed", idempotency_key="k"))
+    driver.handle(api.ClientDisconnected("2"))
+    driver.end_attempt(second, api.AttemptStatus.ERROR)
+    driver.end_attempt(first, api.AttemptStatus.OVERLOADED)
+    driver.advance(2500.0)
+    assert not actions_of(driver.request(class_name="keyed", idempotency_key="k"), api.StartAttempt)
+
+
+def test_a_request_that_another_process_may_have_executed_is_sent_only_within_its_window() -> None:
+    """Guards against a second execution by a process that replaces the one that sent the first attempt."""
+    driver = RouterDriver()
+    execution = api.PossibleExecution(driver.now_ms, "here", 0)
+    driver.handle(api.ExecutionsReported("k", (execution,)))
+    driver.advance(1000.0)
+    within = attempt_of(driver.request(class_name="keyed", idempotency_key="k"))
+    driver.end_attempt(within, api.AttemptStatus.OVERLOADED)
+    driver.advance(1000.0)
+    assert final_actions(driver.request(class_name="keyed", idempotency_key="k")) == [
+        api.FailRequest(str(driver.request_count))
+    ]
+    driver.handle(api.ExecutionsReported("k", ()))
+    assert attempt_of(driver.request(class_name="keyed", idempotency_key="k"))
+
+
+@pytest.mark.parametrize("scope", [api.DeduplicationScope.CELL, api.DeduplicationScope.ZONE])
+def test_a_request_that_another_process_may_have_executed_stays_in_its_scope(
+    scope: api.DeduplicationScope,
+) -> None:
+    entries = tuple(edge(f"edge{number}", cell=number % 2) for number in range(4))
+    keyed = api.RequestClass(
+        "keyed",
+        700.0,
+        3000.0,
+        api.Idempotency.KEYED,
+        deduplication_scope=scope,
+        deduplication_window_ms=2000.0,
+    )
+    driver = RouterDriver(entries=(*entries, ORIGIN), classes=(keyed,))
+    for key in range(20):
+        idempotency_key = str(key)
+        zone = "here" if scope is api.DeduplicationScope.CELL else "elsewhere"
+        execution = api.PossibleExecution(driver.now_ms, zone, cell=1)
+        driver.handle(api.ExecutionsReported(idempotency_key, (execution,)))
+        actions = driver.request(key, "keyed", idempotency_key=idempotency_key)
+        if scope is api.DeduplicationScope.CELL:
+            assert attempt_of(actions).server in {"edge1", "edge3"}
+        else:
+            assert final_actions(actions) == [api.FailRequest(str(driver.request_count))]
+
+
+def test_the_number_of_attempts_on_record_under_one_key_is_bounded() -> None:
+    table = ExecutionTable()
+    execution = api.PossibleExecution(0.0, "here", 0)
+    for _ in range(MAX_EXECUTIONS_PER_KEY):
+        assert table.has_capacity_for("k", 0.0)
+        table.record("k", execution)
+    assert not table.has_capacity_for("k", 0.0)
+    assert table.has_capacity_for("k", KEY_LIFETIME_MS + 1.0)
+    assert not table.by_key
+
+
 def test_uncacheable_requests_have_the_origin_or_a_parent_as_source_and_are_not_cached() -> None:
     attempt = attempt_of(RouterDriver().request(class_name="keyed"))
     assert attempt.source in {"origin", *(entry.server for entry in PARENTS)}
--- a/thornjunction/core/attempts.py
+++ b/thornjunction/core/attempts.py
@@ -58,6 +58,7 @@
         number: the upstreams' identifier of the attempt, its slot in the table.
         time_limit: the deadline that stops the attempt; None: not set yet.
         state: whether its end is awaited, is unneeded, or has happened.
+        execution_record: number of its record among the shared possible executions; None: it has none.
     """
 
     key: AttemptKey
@@ -66,6 +67,7 @@
     number: int = NO_NUMBER
     time_limit: Deadline | None = None
     state: AttemptState = AttemptState.AWAITED
+    execution_record: int | None = None
 
 
 class AttemptTable:
--- a/thornjunction/core/engine.py
+++ b/thornjunction/core/engine.py
@@ -8,6 +8,7 @@
 
 from thornjunction import interface as api
 from thornjunction.core.attempts import Attempt, AttemptKey, AttemptState, AttemptTable
+from thornjunction.core.execution_sharing import ExecutionSharing
 from thornjunction.core.open_requests import REQUEST_CAPACITY, OpenRequest
 from thornjunction.core.ports import (
     Answer,
@@ -56,6 +57,8 @@
         shutdown_at_ms: the time by which all requests must be answered, on the core's clock; infinite until
             the process shuts down.
         kb_per_byte: size of one byte of an answer in the settings' unit of size, KB; 0: not known.
+        execution_sharing: shares possible executions with other processes of this router; None: there are
+            none.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         self.attempts = AttemptTable()
         self.shutdown_at_ms = math.inf
         self.kb_per_byte = 0.0
+        self.execution_sharing: ExecutionSharing | None = None
         self._pending_events: deque[api.Event] = deque()
         self._is_handling = False
 
@@ -95,6 +99,8 @@
         request = OpenRequest(client_request, reply, now_ms, self.max_attempts)
         request.backstop = self.deadlines.add(now_ms + remaining_ms, lambda: self._backstop_due(request))
         request.number = self.requests.add(request)
+        if self.execution_sharing is not None:
+            self.execution_sharing.report(request)
         self.feed(request.event(remaining_ms))
         return request.number
 
@@ -131,8 +137,7 @@
         if attempt is None:
             return
         is_unneeded = attempt.state is AttemptState.UNNEEDED
-        self.attempts.end(attempt)
-        self.deadlines.cancel(attempt.time_limit)
+        self._remove_attempt(attempt, status)
         took_ms = self.clock() - attempt.sent_ms
         self.observer.attempt_ended(status, took_ms)
         answered = None
@@ -153,6 +158,12 @@
         if answered is not None:
             self._withdraw_attempts(answered)  # after the router has handled this attempt's end
 
+    def _remove_attempt(self, attempt: Attempt, status: api.AttemptStatus) -> None:
+        self.attempts.end(attempt)
+        self.deadlines.cancel(attempt.time_limit)
+        if self.execution_sharing is not None:
+            self.execution_sharing.attempt_ended(attempt, status)
+
     def probe_ended(
         self, server: str, status: api.AttemptStatus, took_ms: float, report: api.LoadReport | None
     ) -> None:
@@ -211,6 +222,9 @@
             return
         now_ms = self.clock()
         attempt = Attempt(AttemptKey(start.request_id, index), start.server, now_ms)
+        if self.execution_sharing is not None and not self.execution_sharing.claim(request, attempt, start):
+            self._report_not_started(start, index, final=False)
+            return
         time_limit_at_ms = now_ms + max(start.timeout_ms, 0.0)
         attempt.time_limit = self.deadlines.add(
             time_limit_at_ms, lambda: self._stop(attempt, api.AttemptStatus.TIMEOUT)
--- a/thornjunction/core/open_requests.py
+++ b/thornjunction/core/open_requests.py
@@ -27,6 +27,7 @@
         attempts_made: number of attempts so far, including those that were not started.
         backstop: the deadline at which the engine fails it if the router has not answered it.
         number: its slot in the table of requests.
+        known_executions: possible executions under its key by other processes that the router knows of.
     """
 
     client_request: ClientRequest
@@ -36,6 +37,7 @@
     attempts_made: int = 0
     backstop: Deadline | None = None
     number: int = NO_NUMBER
+    known_executions: tuple[api.PossibleExecution, ...] = ()
 
     @property
     def request_id(self) -> str:
--- a/thornjunction/core/ports.py
+++ b/thornjunction/core/ports.py
@@ -151,6 +151,28 @@
         """Send a health check, and report its end to ``Engine.probe_ended``."""
 
 
+class ExecutionStore(Protocol):
+    """Possible executions by idempotency key that this process shares with others of the same router.
+
+    The methods do not raise; failures are logged.
+    """
+
+    def find(self, key: str) -> tuple[api.PossibleExecution, ...] | None:
+        """Return those of other processes under a key, in the order recorded; None: can't be read now."""
+
+    def claim(
+        self, key: str, execution: api.PossibleExecution, known: tuple[api.PossibleExecution, ...]
+    ) -> int | None:
+        """Record an attempt that is about to be sent; return the record's number.
+
+        Returns None and records nothing if other processes have possible executions under the key that are
+        not among ``known``, or if the store can't be written; the attempt must not be sent then.
+        """
+
+    def withdraw(self, number: int) -> None:
+        """Remove the record of an attempt of this process that was not executed."""
+
+
 class Observer(Protocol):
     """Is notified of the end of each request and each attempt; its methods must not block."""
 
--- a/thornjunction/interface/__init__.py
+++ b/thornjunction/interface/__init__.py
@@ -32,6 +32,7 @@
     ClientDisconnected,
     EndpointListUpdate,
     Event,
+    ExecutionsReported,
     HealthCheckEnded,
     PurgeReceived,
     Request,
@@ -40,6 +41,7 @@
 )
 from thornjunction.interface.servers import (
     LoadReport,
+    PossibleExecution,
     ServerEntry,
 )
 from thornjunction.interface.settings import (
@@ -57,6 +59,7 @@
     "DeduplicationScope",
     "EndpointListUpdate",
     "Event",
+    "ExecutionsReported",
     "FailRequest",
     "FillReporting",
     "FillResult",
@@ -64,6 +67,7 @@
     "Idempotency",
     "LoadReport",
     "PeerFill",
+    "PossibleExecution",
     "PurgeReceived",
     "RejectRequest",
     "Request",
--- a/thornjunction/interface/actions.py
+++ b/thornjunction/interface/actions.py
@@ -5,6 +5,8 @@
 import math
 from dataclasses import dataclass
 
+from thornjunction.interface.servers import PossibleExecution
+
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
@@ -24,6 +26,8 @@
         cached_only: whether the source may serve only a copy from its cache.
         start_within_ms: time from the decision after which an attempt that has not begun ends NOT_STARTED
             and never runs.
+        execution: the possible execution to record before the attempt is sent; None: the request has no
+            idempotency key.
     """
 
     request_id: str
@@ -36,6 +40,7 @@
     refresh_in_background: bool = False
     cached_only: bool = False
     start_within_ms: float = math.inf
+    execution: PossibleExecution | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/thornjunction/interface/events.py
+++ b/thornjunction/interface/events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from thornjunction.interface.enums import AttemptStatus, FillResult
-from thornjunction.interface.servers import LoadReport, ServerEntry
+from thornjunction.interface.servers import LoadReport, PossibleExecution, ServerEntry
 from thornjunction.interface.settings import Settings
 
 
@@ -48,6 +48,19 @@
     idempotency_key: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ExecutionsReported:
+    """The possible executions under a key by other processes of this router; replaces an earlier report.
+
+    Attributes:
+        idempotency_key: the key.
+        executions: the possible executions; empty: none.
+    """
+
+    idempotency_key: str
+    executions: tuple[PossibleExecution, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """The end of an attempt; reported exactly once per ``StartAttempt``.
@@ -146,6 +159,7 @@
 Event = (
     Settings
     | EndpointListUpdate
+    | ExecutionsReported
     | Request
     | AttemptEnded
     | ClientDisconnected
--- a/thornjunction/interface/servers.py
+++ b/thornjunction/interface/servers.py
@@ -1,4 +1,4 @@
-"""Data about one server: its entry in the endpoint list, and its load report."""
+"""Data about one server: its entry in the endpoint list, its load report, an attempt that it may have run."""
 
 from __future__ import annotations
 
@@ -45,3 +45,20 @@
     weight: float = 1.0
     cell: int = 0
     started_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class PossibleExecution:
+    """The time and place of an attempt that may have executed a request.
+
+    It has no reference to the request, which takes about 1 KB and would be kept as long as the key.
+
+    Attributes:
+        sent_at_ms: when the attempt was sent.
+        zone: the zone of its server.
+        cell: the number of its server's cell.
+    """
+
+    sent_at_ms: float
+    zone: str
+    cell: int
--- a/thornjunction/limits/idempotency.py
+++ b/thornjunction/limits/idempotency.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from thornjunction import interface as api
 
 # Keys of requests that may have been executed; while the table is full, no request with a new key is sent.
 MAX_KEYS = 8192
+# Possible executions on record under one key; beyond them no attempt is sent under it.
+MAX_EXECUTIONS_PER_KEY = 32
 # Time for which a key is kept: a client sends its later attempts within ten minutes.
 KEY_LIFETIME_MS = 600_000.0
 
@@ -26,19 +28,8 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class PossibleExecution:
-    """The time and server of the first attempt that may have executed a request.
-
-    It has no reference to the request, which takes about 1 KB and would be kept as long as the key.
-    """
-
-    sent_at_ms: float
-    server: api.ServerEntry
-
-
 def repeat_window_ms(
-    request_class: api.RequestClass, execution: PossibleExecution | None, now_ms: float
+    request_class: api.RequestClass, execution: api.PossibleExecution | None, now_ms: float
 ) -> float:
     """Return for how many ms the servers that may have executed a request will still discard its repeat."""
     if execution is None or request_class.idempotency is api.Idempotency.IDEMPOTENT:
@@ -50,7 +41,7 @@
 
 def is_repeat_safe(
     request_class: api.RequestClass,
-    execution: PossibleExecution | None,
+    execution: api.PossibleExecution | None,
     entry: api.ServerEntry,
     window_ms: float,
 ) -> bool:
@@ -67,41 +58,91 @@
         case api.DeduplicationScope.ALL:
             return True
         case api.DeduplicationScope.ZONE:
-            return execution.server.zone == entry.zone
+            return execution.zone == entry.zone
         case api.DeduplicationScope.CELL:
-            return execution.server.cell == entry.cell
+            return execution.cell == entry.cell
+
+
+@dataclass(slots=True)
+class KeyExecutions:
+    """The possible executions under one idempotency key.
+
+    Attributes:
+        sent: those by attempts of this process, in the order sent.
+        reported: the first one by another process of this router; None: none.
+    """
+
+    sent: list[api.PossibleExecution] = field(default_factory=list)
+    reported: api.PossibleExecution | None = None
+
+    def first(self) -> api.PossibleExecution | None:
+        """Return the earliest one, from which the repeat window counts; None if there is none."""
+        candidates = self.sent[:1]
+        if self.reported is not None:
+            candidates.append(self.reported)
+        return min(candidates, key=_sent_at_ms, default=None)
+
+
+def _sent_at_ms(execution: api.PossibleExecution) -> float:
+    return execution.sent_at_ms
 
 
 class ExecutionTable:
-    """The first attempt that may have been executed, by idempotency key."""
+    """The attempts that may have executed a request, by idempotency key."""
 
     def __init__(self) -> None:
-        self.by_key: dict[str, PossibleExecution] = {}
+        self.by_key: dict[str, KeyExecutions] = {}
 
-    def get(self, key: str) -> PossibleExecution | None:
+    def get(self, key: str) -> api.PossibleExecution | None:
         """Return the first attempt under a key that may have been executed."""
-        return self.by_key.get(key)
+        executions = self.by_key.get(key)
+        return executions.first() if executions is not None else None
 
     def has_capacity_for(self, key: str, now_ms: float) -> bool:
         """Return whether an attempt under this key can be recorded, after expired keys were removed.
 
         A request without a key (the empty string) needs no entry.
         """
+        self._remove_expired(now_ms)
+        if not key:
+            return True
+        executions = self.by_key.get(key)
+        if executions is None:
+            return len(self.by_key) < MAX_KEYS
+        return len(executions.sent) < MAX_EXECUTIONS_PER_KEY
+
+    def record(self, key: str, execution: api.PossibleExecution) -> None:
+        """Record an attempt that is sent."""
+        self.by_key.setdefault(key, KeyExecutions()).sent.append(execution)
+
+    def withdraw(self, key: str, execution: api.PossibleExecution) -> None:
+        """Remove an attempt that was not executed; the others under the key stay."""
+        executions = self.by_key.get(key)
+        if executions is None:
+            return
+        executions.sent = [other for other in executions.sent if other is not execution]
+        self._remove_if_empty(key, executions)
+
+    def report(self, event: api.ExecutionsReported) -> None:
+        """Replace what is known of other processes' attempts under a key.
+
+        A key for which the table has no capacity is left out: no attempt is sent under it.
+        """
+        key = event.idempotency_key
+        if key not in self.by_key and len(self.by_key) >= MAX_KEYS:
+            return
+        executions = self.by_key.setdefault(key, KeyExecutions())
+        executions.reported = min(event.executions, key=_sent_at_ms, default=None)
+        self._remove_if_empty(key, executions)
+
+    def _remove_expired(self, now_ms: float) -> None:
         while self.by_key:
             oldest = next(iter(self.by_key))
-            if now_ms - self.by_key[oldest].sent_at_ms <= KEY_LIFETIME_MS:
-                break
+            first = self.by_key[oldest].first()
+            if first is not None and now_ms - first.sent_at_ms <= KEY_LIFETIME_MS:
+                return
             del self.by_key[oldest]
-        return not key or key in self.by_key or len(self.by_key) < MAX_KEYS
 
-    def record(self, key: str, execution: PossibleExecution) -> None:
-        """Record an attempt that is sent, unless an earlier one is recorded under the key."""
-        self.by_key.setdefault(key, execution)
-
-    def withdraw(self, key: str, execution: PossibleExecution, successor: PossibleExecution | None) -> None:
-        """Remove an attempt that was not executed; ``successor``, if any, replaces it."""
-        if self.by_key.get(key) is not execution:
-            return
-        del self.by_key[key]
-        if successor is not None:
-            self.by_key[key] = successor
+    def _remove_if_empty(self, key: str, executions: KeyExecutions) -> None:
+        if executions.first() is None:
+            del self.by_key[key]
--- a/thornjunction/log_events.py
+++ b/thornjunction/log_events.py
@@ -38,6 +38,8 @@
     """An operator called `drain-on` at the admin endpoint."""
     DRAIN_STOPPED = "drain_stopped"
     """An operator called `drain-off` at the admin endpoint."""
+    EXECUTION_STORE_FAILED = "execution_store_failed"
+    """The file of possible executions can't be used; keyed requests are not sent until it can."""
     FLEET_BIND_FAILED = "fleet_bind_failed"
     """The fleet's UDP port is in use; binding it is retried."""
     FLEET_LINK_CHANGED = "fleet_link_changed"
--- a/thornjunction/net/downstream/connection.py
+++ b/thornjunction/net/downstream/connection.py
@@ -143,6 +143,7 @@
     def write(self, data: bytes) -> None:
         """Write a complete response."""
         self.response_count += 1
+        self._stall_detector.written_bytes += len(data)
         self.transport.write(data)
 
     def discard(self, data: bytes) -> None:
--- a/thornjunction/net/downstream/unread_responses.py
+++ b/thornjunction/net/downstream/unread_responses.py
@@ -56,12 +56,14 @@
 
 
 def read_send_queue(transport: Transport) -> SendQueue:
-    """Read the state of a connection's send queue from the system; empty if the connection is closed."""
+    """Read the state of a connection's send queue from the system; empty if the system does not report it."""
     handle: Any = _tcp_transport(transport).getHandle()
     try:
         info = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
     except OSError:
         return EMPTY_SEND_QUEUE
+    if len(info) < TCP_INFO.size:
+        return EMPTY_SEND_QUEUE
     unacknowledged_segments, acknowledged_bytes, unsent = TCP_INFO.unpack(info)
     return SendQueue(acknowledged_bytes, not unacknowledged_segments and not unsent)
 
@@ -81,18 +83,24 @@
     """Detects that a client has read nothing for ``STALL_TIMEOUT_MS`` while responses wait for it.
 
     A full send buffer alone is no sign of this: it never empties while responses are written as fast as the
-    client reads them.  Therefore the bytes that the client's system acknowledges are compared.
+    client reads them.  Therefore the bytes that the client's system acknowledges are compared, and those that
+    this system accepts: it accepts more once a part of those before was acknowledged.
+
+    Attributes:
+        written_bytes: number of bytes written to the connection so far.
     """
 
-    __slots__ = ("_acknowledged_bytes", "_progress_at_ms")
+    __slots__ = ("_accepted_bytes", "_acknowledged_bytes", "_progress_at_ms", "written_bytes")
 
     def __init__(self) -> None:
+        self.written_bytes = 0
+        self._accepted_bytes = 0
         self._acknowledged_bytes = 0
         self._progress_at_ms = 0.0
 
     def start(self, now_ms: float, transport: Transport) -> None:
         """Start at a moment when responses begin to wait."""
-        self._acknowledged_bytes = read_send_queue(transport).acknowledged_bytes
+        self._note_progress(transport, read_send_queue(transport))
         self._progress_at_ms = now_ms
 
     def check(self, now_ms: float, transport: Transport) -> Reading:
@@ -100,8 +108,16 @@
         queue = read_send_queue(transport)
         if queue.is_empty and not unsent_bytes(transport):
             return Reading.COMPLETE
-        if queue.acknowledged_bytes != self._acknowledged_bytes:
-            self._acknowledged_bytes = queue.acknowledged_bytes
+        if self._note_progress(transport, queue):
             self._progress_at_ms = now_ms
         is_stalled = now_ms - self._progress_at_ms >= STALL_TIMEOUT_MS
         return Reading.STALLED if is_stalled else Reading.IN_PROGRESS
+
+    def _note_progress(self, transport: Transport, queue: SendQueue) -> bool:
+        accepted_bytes = self.written_bytes - unsent_bytes(transport)
+        has_progress = (
+            queue.acknowledged_bytes > self._acknowledged_bytes or accepted_bytes > self._accepted_bytes
+        )
+        self._acknowledged_bytes = max(self._acknowledged_bytes, queue.acknowledged_bytes)
+        self._accepted_bytes = max(self._accepted_bytes, accepted_bytes)
+        return has_progress
--- a/thornjunction/policy/attempts.py
+++ b/thornjunction/policy/attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from thornjunction import interface as api
-from thornjunction.limits.idempotency import NEVER_EXECUTED, ExecutionTable, PossibleExecution
+from thornjunction.limits.idempotency import NEVER_EXECUTED, ExecutionTable
 from thornjunction.limits.retry_budget import RetryBudget
 from thornjunction.policy.context import DecisionContext
 from thornjunction.policy.fetch_plan import FetchPlanner
@@ -46,7 +46,7 @@
             server=server,
             source=fill.source,
             sent_at_ms=now_ms,
-            execution=PossibleExecution(now_ms, server.entry),
+            execution=api.PossibleExecution(now_ms, server.entry.zone, server.entry.cell),
             cached_only=fill.cached_only,
         )
         self._register(attempt)
@@ -64,19 +64,10 @@
         return attempt
 
     def withdraw_execution(self, attempt: Attempt, status: api.AttemptStatus) -> None:
-        """Withdraw the possible execution of an ended attempt if its status proves that it was not executed.
-
-        The possible execution of another attempt in flight under the same idempotency key replaces it.
-        """
+        """Withdraw an ended attempt's possible execution if its status proves that it was not executed."""
         idempotency_key = attempt.request.idempotency_key
-        if not idempotency_key or status not in NEVER_EXECUTED:
-            return
-        successor = None
-        for other in self.in_flight.values():
-            if other.request.idempotency_key == idempotency_key:
-                successor = other.execution
-                break
-        self._executions.withdraw(idempotency_key, attempt.execution, successor)
+        if idempotency_key and status in NEVER_EXECUTED:
+            self._executions.withdraw(idempotency_key, attempt.execution)
 
     def _register(self, attempt: Attempt) -> None:
         """Track an attempt until it ends."""
--- a/thornjunction/policy/fetch_plan.py
+++ b/thornjunction/policy/fetch_plan.py
@@ -112,4 +112,5 @@
             refresh_in_background=request_class.freshness_ms > 0,
             cached_only=attempt.cached_only,
             start_within_ms=start_limit_ms(settings, window_ms - ANSWER_MARGIN_MS),
+            execution=attempt.execution if request.idempotency_key else None,
         )
--- a/thornjunction/policy/requests.py
+++ b/thornjunction/policy/requests.py
@@ -8,7 +8,6 @@
 
 from thornjunction import interface as api
 from thornjunction.estimates import TypicalLatency
-from thornjunction.limits.idempotency import PossibleExecution
 from thornjunction.policy.upstreams import Upstream
 
 
@@ -43,7 +42,7 @@
     state: RequestState = RequestState.OPEN
     attempts_started: int = 0
     in_flight: list[Attempt] = field(default_factory=list)  # at most two: an attempt and its hedge
-    possible_execution: PossibleExecution | None = None  # of the first attempt that may have executed it
+    possible_execution: api.PossibleExecution | None = None  # of the first attempt that may have executed it
     peer_lookups: int = 0  # attempts whose source was another edge cache
     cached_only: bool = False  # whether only cached copies may answer it
     retry_at_ms: float = -math.inf  # end of its backoff
@@ -60,7 +59,7 @@
     server: Upstream
     source: Upstream | None  # of a fill; None if a miss is not filled
     sent_at_ms: float
-    execution: PossibleExecution
+    execution: api.PossibleExecution
     cached_only: bool = False  # whether its source answers from its own cache alone
     timeliness_recorded: bool = False  # whether the admission gates have learnt from it
     exceeded_typical_latency: bool = False  # whether it has taken longer than is typical of its class
--- a/thornjunction/policy/router.py
+++ b/thornjunction/policy/router.py
@@ -61,6 +61,8 @@
         match event:
             case api.Request():
                 self.admission.admit(event)
+            case api.ExecutionsReported():
+                self.state.executions.report(event)
             case api.AttemptEnded():
                 self._attempt_ended(event)
             case api.TimerFired():
@@ -71,12 +73,19 @@
                 self.state.purges.add(event, self._context.now_ms)
             case api.Settings():
                 self._adopt(event)
-            case api.RequestExpired() if event.request_id in self.state.requests.open:
-                self.completion.give_up(self.state.requests.open[event.request_id])
-            case api.ClientDisconnected() if event.request_id in self.state.requests.open:
-                self.completion.close(self.state.requests.open[event.request_id])
+            case api.RequestExpired() | api.ClientDisconnected():
+                self._end_early(event)
         return self._context.actions
 
+    def _end_early(self, event: api.RequestExpired | api.ClientDisconnected) -> None:
+        request = self.state.requests.open.get(event.request_id)
+        if request is None:
+            return
+        if isinstance(event, api.RequestExpired):
+            self.completion.give_up(request)
+        else:
+            self.completion.close(request)
+
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         attempt = self.attempts.end(event)
         if attempt is None:
--- a/thornjunction/runtime/assembly.py
+++ b/thornjunction/runtime/assembly.py
@@ -49,6 +49,7 @@
     router = Router(config.settings, config.seed, config.name)
     engine = Engine(router, config.settings.max_attempts, core_ms, timer_service.deadlines, pool, counters)
     pool.report_to(engine)
+    _share_executions(config, engine)
     clients = DownstreamTable(max(config.sockets // CLIENT_SOCKETS_DIVISOR, 1), buffer_budget)
     return RequestPath(
         timer_service=timer_service,
@@ -62,6 +63,18 @@
     )
 
 
+def _share_executions(config: Config, engine: Engine) -> None:
+    """Share possible executions with the process that this one replaces, or that replaces it."""
+    if not config.handover_folder:
+        return
+    from thornjunction.core.execution_sharing import ExecutionSharing
+    from thornjunction.runtime.execution_store import SharedExecutions
+
+    store = SharedExecutions(config.handover_folder, config.name, core_ms)
+    store.open()
+    engine.execution_sharing = ExecutionSharing(store, engine.feed)
+
+
 def build_optional_parts(
     extras: Extras | None,
     name: str,
