A reloaded configuration that lacks a key of a class is rejected

Cause: the comparison of keys left out those inside lists, and the classes are a list; read_class took the widest scope for a missing one, at a start too.

Change: keys of classes are compared by class name, and an added class needs what all running ones have; only aimStretch may be absent (WIRE). A keyed class needs its group at a start too. Lists with a value for each class or zone are rejected where they are too short: the same default in place of a value.

--- a/tests/runtime/test_reload.py
+++ b/tests/runtime/test_reload.py
@@ -14,6 +14,7 @@
 from thornjunction import interface as api
 from thornjunction.runtime.config import check_complete, parse_config
 from thornjunction.runtime.errors import ConfigError
+from thornjunction.settings import VALUES_BY_CLASS, VALUES_BY_ZONE
 
 
 def test_an_open_request_keeps_its_limit_on_attempts_and_the_next_has_the_new_one() -> None:
@@ -111,6 +112,70 @@
         check_complete(running, parse_config(config_with(**{path: value}), {}))
 
 
+ALERTS = {
+    "name": "alerts",
+    "aimMs": 600.0,
+    "giveUpMs": 3000.0,
+    "idempotency": "keyed",
+    "group": "cell",
+    "memorySpanMs": 6000.0,
+    "lateWorth": 0.0,
+    "worth": 3.0,
+}
+READINGS = ALERTS | {"name": "readings", "aimStretch": 2.0}
+
+
+def config_of_classes(*classes: dict[str, Any]) -> bytes:
+    """Return the configuration with these classes."""
+    return config_with(settings__classes=list(classes), settings__specifics={})
+
+
+@pytest.mark.parametrize("key", sorted(ALERTS.keys() - {"name"}))
+def test_a_reloaded_class_that_lacks_a_key_is_rejected(key: str) -> None:
+    """Guards against a default in its place: a keyed class without its scope ran requests in two cells."""
+    running = parse_config(config_of_classes(ALERTS, READINGS), {})
+    incomplete = {name: value for name, value in ALERTS.items() if name != key}
+    for classes in [(incomplete, READINGS), (READINGS, incomplete), (incomplete,)]:
+        with pytest.raises(ConfigError, match=key):
+            check_complete(running, parse_config(config_of_classes(*classes), {}))
+
+
+@pytest.mark.parametrize("key", sorted(ALERTS.keys() - {"name"}))
+def test_a_class_that_is_added_has_the_keys_that_all_others_have(key: str) -> None:
+    running = parse_config(config_of_classes(READINGS), {})
+    added = {name: value for name, value in ALERTS.items() if name != key}
+    with pytest.raises(ConfigError, match=key):
+        check_complete(running, parse_config(config_of_classes(READINGS, added), {}))
+
+
+def test_classes_may_be_added_and_dropped_and_a_key_that_may_be_absent_may_go() -> None:
+    running = parse_config(config_of_classes(ALERTS, READINGS), {})
+    check_complete(running, parse_config(config_of_classes(ALERTS), {}))
+    check_complete(running, parse_config(config_of_classes(ALERTS | {"name": "new"}), {}))
+    without_optional = {name: value for name, value in READINGS.items() if name != "aimStretch"}
+    check_complete(running, parse_config(config_of_classes(without_optional, ALERTS), {}))
+
+
+@pytest.mark.parametrize("key", ["group", "memorySpanMs"])
+def test_a_keyed_class_needs_its_scope_and_window_at_the_start_too(key: str) -> None:
+    incomplete = {name: value for name, value in ALERTS.items() if name != key}
+    with pytest.raises(ConfigError, match=key):
+        parse_config(config_of_classes(incomplete), {})
+
+
+@pytest.mark.parametrize("name", [*VALUES_BY_CLASS, *VALUES_BY_ZONE])
+def test_a_list_with_a_value_for_each_class_or_zone_is_complete(name: str) -> None:
+    """Guards against a default for the last class or zone: an uncacheable class was taken for a cacheable."""
+    value = False if name == "passOn" else 0
+    zones = {"settings__zones": ["hub", "demo", "third"], "settings__myZone": "demo"}
+    classes = {"settings__classes": [ALERTS, READINGS, ALERTS | {"name": "third"}]}
+    complete = config_with(**zones, **classes, settings__specifics={name: [value] * 3})
+    assert parse_config(complete, {}).settings
+    short = config_with(**zones, **classes, settings__specifics={name: [value] * 2})
+    with pytest.raises(ConfigError, match=name):
+        parse_config(short, {})
+
+
 def test_a_complete_file_is_accepted() -> None:
     running = parse_config(config_with(), {})
     reloaded = parse_config(config_with(settings__allowed__attemptsCap=2, channel="127.0.0.1:5"), {})
--- a/thornjunction/runtime/config.py
+++ b/thornjunction/runtime/config.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -16,6 +16,7 @@
 from thornjunction.net.wire.commands import Commands, parse_commands
 from thornjunction.net.wire.resp import MAX_BULK
 from thornjunction.runtime.addresses import Address, read_address
+from thornjunction.runtime.config_keys import iterate_key_paths, missing_keys
 from thornjunction.runtime.errors import (
     ConfigError,
     FaultyFileError,
@@ -89,7 +90,7 @@
         admin: the address of the admin endpoint, or None if there is none.
         listening_descriptor: descriptor of the clients' listening socket, if the platform opened it.
         handover_folder: folder shared with the process that this one replaces; empty if it replaces none.
-        key_paths: paths of the keys in the file, except those in lists and below ``known``.
+        key_paths: paths of the keys in the file (``config_keys.iterate_key_paths``).
     """
 
     name: str
@@ -138,9 +139,9 @@
     For a key that the running configuration has and the new file lacks, a default would replace the intended
     value.  Two request classes with the same name are rejected as well.
     """
-    missing = running.key_paths - reloaded.key_paths
+    missing = missing_keys(running.key_paths, reloaded.key_paths)
     if missing:
-        raise MissingKeyError(min(missing))
+        raise MissingKeyError(missing[0])
     class_names = {request_class.name for request_class in reloaded.settings.classes}
     if len(class_names) < len(reloaded.settings.classes):
         raise FaultyKeyError("settings.classes", "two classes have the same name")
@@ -169,7 +170,7 @@
         admin=_read_admin_address(top, environ),
         listening_descriptor=_read_descriptor("PROXY_SOCKET_FD", environ),
         handover_folder=environ.get("TMPDIR", "") if environ.get("PROXY_SOCKET_FD") else "",
-        key_paths=frozenset(_iterate_key_paths(top.data)),
+        key_paths=frozenset(iterate_key_paths(top.data)),
     )
 
 
@@ -198,19 +199,6 @@
     return read_address("admin_addr", text) if text else None
 
 
-def _iterate_key_paths(value: Any, prefix: str = "") -> Iterator[str]:
-    """Yield the paths of all keys of nested objects.
-
-    Keys inside lists and keys below ``known`` are left out: the latter may differ from file to file.
-    """
-    if not isinstance(value, Mapping):
-        return
-    for key, inner in value.items():
-        yield prefix + key
-        if key != "known":
-            yield from _iterate_key_paths(inner, f"{prefix}{key}.")
-
-
 def _read_settings(params: SettingsReader) -> api.Settings:
     try:
         return read_settings(params)
--- a/thornjunction/settings.py
+++ b/thornjunction/settings.py
@@ -14,6 +14,10 @@
 MAX_NUMBER = 1e15
 # Greatest number of characters of an invalid value that an error shows.
 MAX_SHOWN_CHARACTERS = 80
+# Settings that are lists with a value for each class.
+VALUES_BY_CLASS = ("classFreshMs", "passOn", "staleEarns", "staleForMs")
+# Settings that are lists with a value for each zone.
+VALUES_BY_ZONE = ("hubByZone", "instancesByZone", "pipeKbPerS")
 # Milliseconds per second: rates are configured per second and used per millisecond.
 MS_PER_S = 1000.0
 
@@ -50,6 +54,13 @@
         super().__init__(f"settings are not JSON: {cause}")
 
 
+class ShortListError(WireError):
+    """A setting has fewer values than there are classes or zones."""
+
+    def __init__(self, name: str, count: int) -> None:
+        super().__init__(f"setting {name!r} has fewer than {count} values")
+
+
 class UnknownZoneError(WireError):
     """A setting refers to a zone by an index that is outside the list of zones."""
 
@@ -98,6 +109,12 @@
         """Return a list of numbers from 0 to ``MAX_NUMBER``; empty if the setting is missing."""
         return [self._checked(name, value) for value in self.get(name, list, [])]
 
+    def check_length(self, name: str, count: int) -> None:
+        """Check that a list that has a value for each class or zone is complete, or missing."""
+        values: list[Any] = self.get(name, list, [])
+        if 0 < len(values) < count:
+            raise ShortListError(self.path + name, count)
+
     def values(self, name: str, kind: type, minimum_count: int = 0) -> list[Any]:
         """Return a list of values of one type; empty if the setting is missing and may be empty."""
         values: list[Any] = self.get(name, list, None if minimum_count else [])
@@ -128,6 +145,8 @@
     """Return one request class; lists in ``specifics`` have a value for each class, by its index."""
     params = SettingsReader(data, f"classes[{index}].")
     idempotency = params.choice("idempotency", api.Idempotency)
+    is_keyed = idempotency is api.Idempotency.KEYED
+    deduplication_window_ms = params.number("memorySpanMs", None if is_keyed else 0.0)
     uncacheable = specifics.values("passOn", bool)
 
     def by_class(name: str) -> float:
@@ -142,10 +161,8 @@
         objective_transfer_factor=params.number("aimStretch", 0.0),
         late_value_share=params.number("lateWorth", 0.0),
         priority_weight=params.number("worth", 1.0),
-        deduplication_scope=params.choice("group", api.DeduplicationScope, "all"),
-        deduplication_window_ms=params.number(
-            "memorySpanMs", None if idempotency is api.Idempotency.KEYED else 0.0
-        ),
+        deduplication_scope=params.choice("group", api.DeduplicationScope, None if is_keyed else "all"),
+        deduplication_window_ms=deduplication_window_ms,
         freshness_ms=by_class("classFreshMs"),
         stale_grace_ms=by_class("staleForMs") if by_class("staleEarns") > 0 else 0.0,
         uncacheable=index < len(uncacheable) and uncacheable[index],
@@ -167,6 +184,10 @@
     specifics = params.section("specifics")
     zones: list[str] = params.values("zones", str, minimum_count=1)
     classes = params.values("classes", Mapping, minimum_count=1)
+    for name in VALUES_BY_CLASS:
+        specifics.check_length(name, len(classes))
+    for name in VALUES_BY_ZONE:
+        specifics.check_length(name, len(zones))
     common = api.Settings(
         classes=tuple(read_class(data, index, specifics) for index, data in enumerate(classes)),
         zone=params.get("myZone", str),
