Review case 6: six connections, so that the system's buffers do not hide the loss

With four connections the bytes under way exceeded the router's budget and the system's send buffers only by a little; a system with larger buffers might have taken all.

Changed the case to six connections (192 requests, 46 MB), which is still within the protocol's limits.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -30,7 +30,7 @@
 RECEIVE_BUFFER_BYTES = 65_536
 
 # The connections, the requests that each has open at once, and the bytes of each object.
-CONNECTIONS = 4
+CONNECTIONS = 6
 OPEN_REQUESTS = 32
 OBJECT_BYTES = 240_000
 
